--- a/oxbowrack/benchlink.py
+++ b/larklb/benchlink.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from oxbowrack import interface as io
-from oxbowrack.decide import Gateway
+from larklb import interface as io
+from larklb.decide import Gateway
 
 
 class WireError(Exception):
@@ -171,7 +171,7 @@
         try:
             reply = link.batch(line)
         except WireError as error:
-            print(f"oxbowrack: {error}", file=sys.stderr)
+            print(f"larklb: {error}", file=sys.stderr)
             return 2
         sink.write(reply + "\n")
         sink.flush()
--- a/oxbowrack/decide.py
+++ b/larklb/decide.py
@@ -15,9 +15,9 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 
-from oxbowrack import interface as io
-from oxbowrack import peerwire as pw
-from oxbowrack.records import Attempt, Copy, Held, Lease
+from larklb import interface as io
+from larklb import peerwire as pw
+from larklb.records import Attempt, Copy, Held, Lease
 
 VIRTUAL_NODES = 128        # per gateway, from the design: evens out the shares of the ring
 ARC = (1 << 64) // VIRTUAL_NODES                  # of the ring, for one virtual node of each gateway
--- a/oxbowrack/records.py
+++ b/larklb/records.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from oxbowrack import interface as io
+from larklb import interface as io
 
 if TYPE_CHECKING:
-    from oxbowrack.decide import Server
+    from larklb.decide import Server
 
 
 @dataclass(eq=False)
--- a/oxbowrack/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""oxbowrack: the decisions of a quota-keeping gateway for a shared API."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from oxbowrack import interface as io
-from oxbowrack.decide import Gateway
+from larklb import interface as io
+from larklb.decide import Gateway
 
 SAFE = io.ServiceClass("read", aim=1000.0, deadline=4000.0)
 KEYED = io.ServiceClass("write", aim=1000.0, deadline=4000.0, repeat=io.Repeat.KEYED,
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from oxbowrack.benchlink import main
+from larklb.benchlink import main
 
 SETTINGS: dict[str, Any] = {
     "ordinal": 0, "balancers": 1, "tick": 2.0, "new_key": {"x": 1}, "my_zone": "z",
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from oxbowrack import interface as io
-from oxbowrack import peerwire as pw
-from oxbowrack.decide import digest, ring_owner
+from larklb import interface as io
+from larklb import peerwire as pw
+from larklb.decide import digest, ring_owner
 from tests.conftest import Bed
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from oxbowrack import interface as io
-from oxbowrack import peerwire as pw
-from oxbowrack.decide import BREAKER_OPEN_MS, CircuitBreaker, TokenBucket, digest, ring_owner
+from larklb import interface as io
+from larklb import peerwire as pw
+from larklb.decide import BREAKER_OPEN_MS, CircuitBreaker, TokenBucket, digest, ring_owner
 from tests.conftest import settings
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from oxbowrack import interface as io
-from oxbowrack.decide import digest, ring_owner
+from larklb import interface as io
+from larklb.decide import digest, ring_owner
 from tests.conftest import Bed
 
 MANY = 400
