--- a/larklb/__init__.py
+++ b/larklb/__init__.py
@@ -1,1 +1,3 @@
-"""larklb: the decisions of a quota-keeping gateway for a shared API."""
+"""larklb: a quota-keeping limiter on real sockets."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/larklb/core.py
@@ -0,0 +1,137 @@
+"""Drives one Gateway: events go in under one clock, actions come out to the job that each is for.
+
+Nothing here knows a wire.  A front makes a Job, hands in its request and reads the actions from the job's
+mailbox; whoever carries out an attempt reports how it ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+
+from larklb import interface as io
+from larklb.counters import Counters
+from larklb.decide import Gateway
+from larklb.wheel import Timer, Wheel
+
+log = logging.getLogger(__name__)
+
+
+class Job:
+    """A request that was taken; its task reads what the module decided from here, in order."""
+
+    __slots__ = ("id", "due", "gone", "attempts", "stop", "overdue", "_box", "_reader")
+
+    def __init__(self, name: str, due: float) -> None:
+        self.id = name
+        self.due = due
+        self.gone = False
+        self.attempts = 0
+        self.stop: Callable[[io.Result], None] | None = None      # ends the attempt that is out, if any
+        self.overdue: Timer | None = None
+        self._box: deque[io.Action] = deque()
+        self._reader: asyncio.Future[None] | None = None
+
+    def put(self, action: io.Action) -> None:
+        self._box.append(action)
+        if self._reader is not None and not self._reader.done():
+            self._reader.set_result(None)
+
+    async def next(self) -> io.Action:
+        while not self._box:
+            self._reader = asyncio.get_running_loop().create_future()
+            await self._reader
+        return self._box.popleft()
+
+
+class Core:
+    """One Gateway and the jobs it decides on."""
+
+    def __init__(self, settings: io.Settings, seed: int, wheel: Wheel, counters: Counters) -> None:
+        self.settings = settings
+        self.wheel = wheel
+        self.counters = counters
+        self.gateway = Gateway(settings, seed, wheel.now())
+        self.classes = {c.name: c for c in settings.classes}
+        self.plans = {p.name for p in settings.plans}
+        self.jobs: dict[str, Job] = {}
+        self.tell: Callable[[int, bytes], None] = lambda peer, data: None
+        self.probe: Callable[[str], None] = lambda server: None
+        self.stopping = False
+        self.idle = asyncio.Event()          # set while no job is held
+        self.idle.set()
+
+    def start(self) -> None:
+        self._carry_out(self.gateway.start(self.wheel.now()))
+
+    def feed(self, event: io.Event) -> None:
+        try:
+            actions = self.gateway.handle(self.wheel.now(), event)
+        except Exception:
+            # The module has recorded what it did before it failed: that much is carried out, so that what it
+            # believes to be out really is; the job that is now left without a decision fails at its due time.
+            log.exception("the module failed on %s", type(event).__name__)
+            self.counters.add("errors.module")
+            actions = self.gateway.actions
+        self._carry_out(actions)
+
+    def _carry_out(self, actions: list[io.Action]) -> None:
+        for a in actions:
+            match a:
+                case io.SetTimer():
+                    self.wheel.after(a.after, self.feed, io.Timer(a.mark))
+                case io.Tell():
+                    self.tell(a.peer, a.data)
+                case io.Cancel():
+                    job = self.jobs.get(a.request)
+                    if job is not None and job.stop is not None and a.attempt == job.attempts - 1:
+                        job.stop(io.Result.CANCELLED)
+                case io.Send() | io.Refuse() | io.Fail():
+                    if a.request in self.jobs:
+                        self.jobs[a.request].put(a)
+                case io.Probe():
+                    self.probe(a.server)
+                case io.Log():
+                    log.info("%s", a.text)
+
+    def take(self, request: io.Request) -> Job:
+        """From here on the job is owed one final answer."""
+        job = self.jobs[request.request] = Job(request.request, request.due)
+        self.idle.clear()
+        # The module answers before the due time or an attempt times out at it.  Should both fail to
+        # happen, the job must still end: the guard stands two ticks behind them.
+        job.overdue = self.wheel.after(request.due - self.wheel.now() + 2 * self.settings.tick,
+                                       self._overdue, job)
+        self.feed(request)
+        return job
+
+    def _overdue(self, job: Job) -> None:
+        self.counters.add("errors.overdue")
+        job.put(io.Fail(job.id))
+        if job.stop is not None:
+            job.stop(io.Result.TIMEOUT)
+
+    def gone(self, job: Job) -> None:
+        """Nobody waits for the job any more; an attempt that is out runs on."""
+        if job.gone or job.id not in self.jobs:
+            return
+        job.gone = True
+        self.counters.add("gone")
+        self.feed(io.ClientGone(job.id))
+        job.put(io.Fail(job.id))
+
+    def outcome(self, job: Job, server: str, result: io.Result, took: float) -> None:
+        number, job.attempts, job.stop = job.attempts - 1, job.attempts, None
+        complete = job.gone or result is io.Result.OK
+        self.counters.add(f"outcome.{result.value}")
+        self.feed(io.Outcome(job.id, number, server, result, took, complete))
+
+    def close(self, job: Job) -> None:
+        """The job has had its answer."""
+        if job.overdue is not None:
+            job.overdue.cancel()
+        self.jobs.pop(job.id, None)
+        if not self.jobs:
+            self.idle.set()
--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -705,7 +705,8 @@
         harmless = (h.cls.repeat is io.Repeat.SAFE or not h.ran()
                     or (h.cls.repeat is io.Repeat.KEYED and h.cls.group is io.Group.ALL))
         wait = min(retry_after, self.s.max_retry_after)
-        self.actions.append(io.Refuse(h.request, wait) if harmless else io.Fail(h.request))
+        over_quota = not h.admitted and now < h.due - 2 * self.s.tick
+        self.actions.append(io.Refuse(h.request, wait, over_quota) if harmless else io.Fail(h.request))
         self._over(now, h)
 
     def _over(self, now: float, h: Held, true_units: float | None = None) -> None:
--- a/larklb/interface.py
+++ b/larklb/interface.py
@@ -259,10 +259,11 @@
 
 @dataclass(frozen=True)
 class Refuse:
-    """Final answer: trying again is harmless; ``retry_after`` 0 gives no hint."""
+    """Final answer: trying again is harmless; no hint with ``retry_after`` 0; ``over_quota``: the cause."""
 
     request: str
     retry_after: float = 0.0
+    over_quota: bool = False
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/larklb/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's protocol on sockets."""
--- /dev/null
+++ b/larklb/net/execute.py
@@ -0,0 +1,233 @@
+"""The execute nodes: pooled connections, attempts and probes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import defaultdict
+from typing import NamedTuple
+
+import h11
+
+from larklb import interface as io
+from larklb.core import Core, Job
+from larklb.net.http import Link, TooLongError, dial
+from larklb.net.machines import Machines
+from larklb.settings import Config
+
+IDLE_PART = 0.4          # of the nodes' own idle limit: a request must not cross the node's close
+SOCKETS_PART = 0.4       # of the descriptors may be connections to execute nodes
+GRACE_PART = 0.8         # of the drain grace is used, the rest is for what lies between us and the node
+
+
+class Content(NamedTuple):
+    """What goes on unchanged."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+class Ended(NamedTuple):
+    """How an attempt ended; with OK the answer's type and body."""
+
+    result: io.Result
+    took: float
+    kind: bytes = b""
+    body: bytes = b""
+
+
+class ExecuteNodes:
+    """All connections to execute nodes, and the attempts on them."""
+
+    def __init__(self, config: Config, core: Core, machines: Machines) -> None:
+        self.core, self.wheel, self.machines = core, core.wheel, machines
+        self.dial_timeout = config.dial_timeout
+        self.idle_limit = config.conn_idle * IDLE_PART
+        self.most = int(config.sockets * SOCKETS_PART)
+        self.grace = config.settings.drain_grace * GRACE_PART
+        self.open = 0
+        self.pools: defaultdict[tuple[str, int], list[Link]] = defaultdict(list)
+        self.probes: set[asyncio.Task[None]] = set()
+        core.probe = self.probe
+        self._sweep()
+
+    # Connections --------------------------------------------------------------------------
+
+    def _sweep(self) -> None:
+        """Idle connections go well before the node closes them, and when their node has left the list."""
+        now, listed = self.wheel.now(), self.machines.addresses()
+        for place, pool in list(self.pools.items()):
+            for link in list(pool):
+                if now - link.since > self.idle_limit or place not in listed:
+                    self._drop(place, link)
+            if not pool:
+                del self.pools[place]
+        self.wheel.after(self.idle_limit / 4, self._sweep)
+
+    def _drop(self, place: tuple[str, int], link: Link) -> None:
+        if link in self.pools[place]:
+            self.pools[place].remove(link)
+        self._end(link)
+
+    def _end(self, link: Link) -> None:
+        link.reader.on_end = None
+        link.abort()
+        self.open -= 1
+
+    def _pooled(self, place: tuple[str, int]) -> Link | None:
+        pool = self.pools.get(place)
+        while pool:
+            link = pool.pop()
+            link.reader.on_end = None
+            if not link.reader.ended() and not link.writer.is_closing():
+                return link
+            self._end(link)
+        return None
+
+    def _keep(self, place: tuple[str, int], link: Link) -> None:
+        if link.reader.ended() or not link.again():
+            self._end(link)
+            return
+        link.since = self.wheel.now()
+        link.reader.on_end = lambda: self._drop(place, link)
+        self.pools[place].append(link)
+
+    async def _dial(self, place: tuple[str, int], within: float, attempt: _Attempt) -> Link | None:
+        if self.open >= self.most:
+            idle = [(link.since, at) for at, pool in self.pools.items() for link in pool[:1]]
+            if not idle:
+                self.core.counters.add("errors.no_descriptor")
+                return None
+            at = min(idle)[1]
+            self._drop(at, self.pools[at][0])
+        self.open += 1
+        self.core.counters.add("dialled")
+        attempt.dialling = asyncio.ensure_future(dial(*place))
+        timer = self.wheel.after(within, attempt.dialling.cancel)
+        try:
+            await asyncio.wait((attempt.dialling,))
+        finally:
+            timer.cancel()
+            dialling, attempt.dialling = attempt.dialling, None
+            if not dialling.done():
+                dialling.cancel()
+        if not dialling.cancelled() and dialling.exception() is None:
+            return dialling.result()
+        self.open -= 1
+        return None
+
+    # Attempts -----------------------------------------------------------------------------
+
+    async def attempt(self, job: Job, send: io.Send, content: Content) -> Ended:
+        """One attempt, from the choice of a connection to its one outcome."""
+        started = self.wheel.now()
+        job.attempts += 1
+        machine = self.machines.of.get(send.server)
+        left = min(job.due - started, send.timeout or job.due - started)
+        if machine is None or left <= 0:
+            return Ended(io.Result.MOOT, 0.0)
+        attempt = _Attempt()
+        job.stop = attempt.stop
+        timer = self.wheel.after(left, attempt.stop, io.Result.TIMEOUT)
+        link: Link | None = None
+        kept = False
+        try:
+            link = self._pooled(machine.place)
+            if link is None:
+                link = await self._dial(machine.place, min(left, self.dial_timeout), attempt)
+            if link is None:
+                result = io.Result.CONNECT_FAILED if attempt.result is None else io.Result.MOOT
+                return Ended(result, self.wheel.now() - started)
+            if attempt.result is not None:           # called off or out of time before a byte was written
+                kept = True
+                self._keep(machine.place, link)
+                return Ended(io.Result.MOOT, self.wheel.now() - started)
+            # The dial may have taken longer than the node's drain grace: nothing new goes there after it.
+            if machine.closed_at is not None and self.wheel.now() - machine.closed_at > self.grace:
+                self.core.counters.add("held_back.drain")
+                return Ended(io.Result.MOOT, self.wheel.now() - started)
+            attempt.link = link
+            wait = max(0.001, (started + left - self.wheel.now()) / 1000.0)
+            link.write(h11.Request(method=content.method, target=content.target, headers=[
+                (b"Host", b"service.internal"), *content.headers, (b"X-Time-Left", b"%.3f" % wait)]),
+                content.body)
+            self.core.counters.add("sent")
+            ended = await self._answer(link, attempt, started)
+            if ended.result in (io.Result.OK, io.Result.ERROR, io.Result.FULL):
+                kept = True
+                self._keep(machine.place, link)
+            return ended
+        finally:
+            timer.cancel()
+            job.stop = None
+            if link is not None and not kept:
+                self._end(link)
+
+    async def _answer(self, link: Link, attempt: _Attempt, started: float) -> Ended:
+        unsent = True
+        try:
+            await link.writer.drain()            # returns once the last byte has left
+            unsent = False
+            got = await link.read()
+        except (OSError, h11.RemoteProtocolError, TooLongError):
+            got = None
+        took = self.wheel.now() - started
+        if attempt.result is not None:
+            return Ended(attempt.result, took)
+        if got is None:
+            # Broken before the last byte left: it cannot have run.  After that it may have.
+            return Ended(io.Result.CONNECT_FAILED if unsent else io.Result.RESET, took)
+        head, body = got
+        if head.status_code == 200:
+            kind = next((v for n, v in head.headers if n == b"content-type"), b"application/octet-stream")
+            return Ended(io.Result.OK, took, kind, body)
+        unseen = head.status_code in (503, 504) and (b"x-unprocessed", b"1") in list(head.headers)
+        return Ended(io.Result.FULL if unseen else io.Result.ERROR, took)
+
+    # Probes -------------------------------------------------------------------------------
+
+    def probe(self, server: str) -> None:
+        task = asyncio.ensure_future(self._probe(server))
+        self.probes.add(task)
+        task.add_done_callback(self.probes.discard)
+
+    async def _probe(self, server: str) -> None:
+        """A health check that the module asked for, on a connection of its own."""
+        machine, started, result = self.machines.of.get(server), self.wheel.now(), io.Result.CONNECT_FAILED
+        if machine is None:
+            return
+        attempt = _Attempt()
+        timer = self.wheel.after(self.dial_timeout, attempt.stop, io.Result.TIMEOUT)
+        link = self._pooled(machine.place) or await self._dial(machine.place, self.dial_timeout, attempt)
+        if link is not None:
+            attempt.link = link
+            with contextlib.suppress(h11.RemoteProtocolError, TooLongError):
+                link.write(h11.Request(method="GET", target="/healthz", headers=[("Host", "probe")]))
+                got = await link.read()
+                result = io.Result.OK if got is not None and got[0].status_code == 200 else io.Result.ERROR
+            self._end(link)
+        timer.cancel()
+        self.core.counters.add("probed")
+        self.core.feed(io.ProbeResult(server, attempt.result or result, self.wheel.now() - started))
+
+
+class _Attempt:
+    """The handle by which an attempt that is out is ended before its answer."""
+
+    __slots__ = ("result", "link", "dialling")
+
+    def __init__(self) -> None:
+        self.result: io.Result | None = None
+        self.link: Link | None = None
+        self.dialling: asyncio.Future[Link] | None = None
+
+    def stop(self, result: io.Result) -> None:
+        """Closes its connection; whoever reads from it finds the result here."""
+        if self.result is None:
+            self.result = result
+            if self.dialling is not None:
+                self.dialling.cancel()
+            if self.link is not None:
+                self.link.abort()
--- /dev/null
+++ b/larklb/net/front.py
@@ -0,0 +1,256 @@
+"""The submitters' side: their connections, and the life of each job from its last byte to its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from typing import NamedTuple
+
+import h11
+
+from larklb import interface as io
+from larklb.core import Core, Job
+from larklb.net.execute import Content, Ended, ExecuteNodes
+from larklb.net.http import Link, TooLongError, WatchedReader
+from larklb.settings import Config
+
+log = logging.getLogger(__name__)
+
+SOCKETS_PART = 0.5         # of the descriptors may be submitters' connections
+MOST_TIME_S = 600.0        # that a submitter may say it waits
+HALF_MESSAGE = 10000.0     # ms for the rest of a message that was begun
+SWEEP = 1000.0
+LINGER = 700.0             # ms after SIGTERM in which what still arrives is taken
+_PASSED = (b"x-correlation-id", b"idempotency-key", b"x-service-class", b"content-type")
+
+
+class MalformedError(Exception):
+    """The message is no job; the text says why."""
+
+
+class Answer(NamedTuple):
+    status: int
+    body: bytes = b""
+    kind: bytes = b"text/plain"
+    retry_after: float = 0.0
+    close: bool = False
+
+
+def quota_info(text: str) -> tuple[float, int, int]:
+    """Units, spread and first of ``units=2,spread=3,first=1``, in any order; units default to 1."""
+    fields = dict(part.strip().partition("=")[::2] for part in text.split(","))
+    try:
+        units, spread, first = float(fields.get("units", "1")), int(fields["spread"]), int(fields["first"])
+    except (KeyError, ValueError) as error:
+        raise MalformedError(f"quota information {text!r} makes no sense") from error
+    if not (math.isfinite(units) and units > 0 and spread >= 1 and first >= 0):
+        raise MalformedError(f"quota information {text!r} makes no sense")
+    return units, spread, first
+
+
+def account(text: str) -> str:
+    """The customer: 16 hex digits."""
+    if len(text) != 16 or not all(c in "0123456789abcdefABCDEF" for c in text):
+        raise MalformedError("the account is no 16 hex digits")
+    return text
+
+
+def parse(head: h11.Request, body: bytes, now: float, core: Core) -> tuple[io.Request, Content]:
+    """The job in a message; only what the decisions need is taken out of it."""
+    headers = {name: value for name, value in head.headers}
+
+    def text(name: str) -> str:
+        try:
+            return headers[name.encode()].decode("ascii")
+        except (KeyError, UnicodeDecodeError) as error:
+            raise MalformedError(f"no usable {name}") from error
+
+    name, service, plan = text("x-correlation-id"), text("x-service-class"), text("plan")
+    cls = core.classes.get(service)
+    if cls is None or plan not in core.plans:
+        raise MalformedError("unknown class or plan")
+    path = head.target.partition(b"?")[0].split(b"/")
+    if len(path) < 2 or path[0] or path[1] != service.encode():
+        raise MalformedError("the path does not begin with the class")
+    if head.method != (b"GET" if cls.repeat is io.Repeat.SAFE else b"POST"):
+        raise MalformedError("the class has another method")
+    if cls.repeat is io.Repeat.KEYED:
+        text("idempotency-key")
+    try:
+        wait = float(text("x-time-left"))
+    except ValueError as error:
+        raise MalformedError("x-time-left is no number") from error
+    if not 0 < wait <= MOST_TIME_S:
+        raise MalformedError("x-time-left makes no sense")
+    units, spread, first = quota_info(text("quota-info"))
+    request = io.Request(request=name, service=service, plan=plan, customer=account(text("account")),
+                         due=now + wait * 1000.0, units=units, first=first, spread=spread,
+                         repeat=headers.get(b"x-repeat") == b"1")
+    passed = tuple((n, v) for n, v in head.headers.raw_items() if n.lower() in _PASSED)
+    if body or head.method == b"POST":
+        passed += ((b"Content-Length", b"%d" % len(body)),)
+    return request, Content(head.method, head.target, passed, body)
+
+
+def refusal(action: io.Refuse) -> Answer:
+    """429 where the quota spoke, 503 where there was no room or time."""
+    return Answer(429 if action.over_quota else 503, retry_after=action.retry_after)
+
+
+class Front:
+    """Listens for submitters."""
+
+    def __init__(self, config: Config, core: Core, nodes: ExecuteNodes) -> None:
+        self.config, self.core, self.nodes, self.wheel = config, core, nodes, core.wheel
+        self.most = int(config.sockets * SOCKETS_PART)
+        self.links: dict[Link, None] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.server: asyncio.Server | None = None
+        self.stopping = False
+        self._sweep()
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+
+        def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            assert isinstance(reader, WatchedReader)
+            task = loop.create_task(self._connection(Link(reader, writer, h11.SERVER)))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+        def protocol() -> asyncio.StreamReaderProtocol:
+            return asyncio.StreamReaderProtocol(WatchedReader(loop=loop), connected, loop=loop)
+
+        self.server = await loop.create_server(protocol, *self.config.listen, backlog=256, reuse_address=True)
+
+    async def stop(self) -> None:
+        """Takes what still arrives for a while, then ends what is idle and finishes all that was taken."""
+        self.stopping = True
+        self._close_idle()
+        await self.wheel.sleep(LINGER)
+        if self.server is not None:
+            self.server.close()
+        self._close_idle()
+        if self.tasks:
+            await asyncio.wait(self.tasks)
+
+    def _close_idle(self) -> None:
+        for link in self.links:
+            if not link.busy and not link.partial():
+                link.writer.close()
+
+    def _sweep(self) -> None:
+        """What hangs in the middle of a message is ended: it must not hold a descriptor for good."""
+        now = self.wheel.now()
+        for link in list(self.links):
+            if not link.busy and link.partial() and now - link.since > HALF_MESSAGE:
+                self.core.counters.add("errors.half_message")
+                link.abort()
+        self.wheel.after(SWEEP, self._sweep)
+
+    def _make_room(self) -> None:
+        """More connections than planned for: those idle longest go."""
+        if len(self.links) <= self.most:
+            return
+        idle = [link for link in self.links if not link.busy and not link.partial() and link.since]
+        for link in sorted(idle, key=lambda x: x.since)[:len(self.links) - self.most]:
+            link.writer.close()
+
+    async def _connection(self, link: Link) -> None:
+        self.links[link] = None
+        self._make_room()
+        try:
+            while await self._message(link):
+                link.since = self.wheel.now()
+        except OSError:
+            self.core.counters.add("errors.submitter_gone")
+        except Exception:
+            self.core.counters.add("errors.connection")
+            log.exception("a submitter's connection failed")
+        finally:
+            del self.links[link]
+            link.writer.close()
+
+    async def _message(self, link: Link) -> bool:
+        """One message and its answer; whether the connection can carry another."""
+        link.busy = False
+        if self.stopping and self.server is not None and not self.server.is_serving():
+            return False
+        try:
+            got = await link.read()
+            link.busy = True
+            if got is None:
+                return False
+            answer = await self._answer(link, *got)
+        except TooLongError:
+            answer = Answer(413, close=True)
+        except h11.RemoteProtocolError as error:
+            if link.reader.ended():
+                return False
+            answer = Answer(error.error_status_hint, str(error).encode(), close=True)
+        if answer.status in (400, 409, 413):
+            self.core.counters.add("malformed")
+        link.busy = True
+        self._write(link, answer)
+        await link.writer.drain()
+        return not (answer.close or self.stopping) and link.again()
+
+    def _write(self, link: Link, answer: Answer) -> None:
+        headers = [(b"Content-Type", answer.kind), (b"Content-Length", b"%d" % len(answer.body))]
+        if answer.retry_after > 0:
+            headers.append((b"Retry-After", b"%.3f" % (answer.retry_after / 1000.0)))
+        if answer.close or self.stopping:
+            headers.append((b"Connection", b"close"))
+        link.write(h11.Response(status_code=answer.status, headers=headers), answer.body)
+
+    async def _answer(self, link: Link, head: h11.Request, body: bytes) -> Answer:
+        if head.method == b"GET" and head.target == b"/healthz":
+            return Answer(503 if self.stopping else 200)
+        if head.method == b"GET" and head.target == b"/counters":
+            return Answer(200, self.core.counters.as_json().encode(), b"application/json")
+        try:
+            request, content = parse(head, body, self.wheel.now(), self.core)
+        except MalformedError as error:
+            return Answer(400, str(error).encode())
+        if request.request in self.core.jobs:
+            # The same id twice at once would put two attempts of one request out together.
+            return Answer(409, b"this request is already in work")
+        return await self._life(link, request, content)
+
+    async def _life(self, link: Link, request: io.Request, content: Content) -> Answer:
+        """The whole life of a job."""
+        counters = self.core.counters
+        counters.add(f"taken.http.{request.service}")
+        job = self.core.take(request)
+        link.reader.on_end = lambda: self.core.gone(job)
+        if link.reader.ended():
+            self.core.gone(job)
+        try:
+            answer, word = await self._decided(job, content)
+        except Exception:
+            # A failure of our own costs this job alone; what it had out is closed by the attempt itself.
+            log.exception("job %s failed", job.id)
+            counters.add("errors.job")
+            self.core.gone(job)
+            answer, word = Answer(500), "failed"
+        finally:
+            link.reader.on_end = None
+            self.core.close(job)
+        counters.add("answered.nobody" if job.gone and word != "failed" else f"answered.{word}")
+        return answer
+
+    async def _decided(self, job: Job, content: Content) -> tuple[Answer, str]:
+        while True:
+            match action := await job.next():
+                case io.Send():
+                    ended: Ended = await self.nodes.attempt(job, action, content)
+                    self.core.outcome(job, action.server, ended.result, ended.took)
+                    if ended.result is io.Result.OK:
+                        return Answer(200, ended.body, ended.kind), "served"
+                    if job.gone:
+                        return Answer(502, close=True), "nobody"
+                case io.Refuse():
+                    return refusal(action), "refused"
+                case _:
+                    return Answer(502, close=job.gone), "nobody" if job.gone else "failed"
--- /dev/null
+++ b/larklb/net/http.py
@@ -0,0 +1,109 @@
+"""Helpers round h11 and asyncio streams that both sides of the platform's protocol use."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import h11
+
+MOST_BODY = 64 * 1024
+_CHUNK = 64 * 1024
+
+
+class TooLongError(Exception):
+    """A body exceeds what the protocol allows."""
+
+
+class WatchedReader(asyncio.StreamReader):
+    """A stream reader that also tells, once, when its other side has closed or broken the connection."""
+
+    on_end: Callable[[], object] | None = None
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        self._tell()
+
+    def set_exception(self, exc: BaseException) -> None:
+        super().set_exception(exc)          # type: ignore[arg-type]
+        self._tell()
+
+    def _tell(self) -> None:
+        if self.on_end is not None:
+            tell, self.on_end = self.on_end, None
+            tell()
+
+    def ended(self) -> bool:
+        return bool(self._eof) or self.exception() is not None      # type: ignore[attr-defined]
+
+
+class Link:
+    """One connection: its streams and its h11 state."""
+
+    __slots__ = ("reader", "writer", "http", "since", "busy")
+
+    def __init__(self, reader: WatchedReader, writer: asyncio.StreamWriter, role: Any) -> None:
+        self.reader, self.writer = reader, writer
+        self.http = h11.Connection(role)
+        self.since = 0.0          # when it was last put down
+        self.busy = False
+        writer.transport.set_write_buffer_limits(high=0)      # so that drain() waits for the last byte
+
+    async def read(self, most: int = MOST_BODY) -> tuple[Any, bytes] | None:
+        """The next whole message, its head and its body; None where the other side closed before one."""
+        head: Any = None
+        body: list[bytes] = []
+        size = 0
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                if self.http.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    self.writer.write(self.http.send(go_on) or b"")
+                try:
+                    data = await self.reader.read(_CHUNK)
+                except OSError:
+                    data = b""
+                self.http.receive_data(data)
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > most:
+                    raise TooLongError
+                body.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return head, b"".join(body)
+            elif isinstance(event, h11.Request | h11.Response):
+                head = event
+            elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return None
+
+    def partial(self) -> bool:
+        """Whether the other side has begun a message and not finished it."""
+        return self.http.their_state is h11.SEND_BODY or bool(self.http.trailing_data[0])
+
+    def write(self, head: Any, body: bytes = b"") -> None:
+        data = [self.http.send(head)]
+        if body:
+            data.append(self.http.send(h11.Data(data=body)))
+        data.append(self.http.send(h11.EndOfMessage()))
+        self.writer.write(b"".join(part for part in data if part))
+
+    def again(self) -> bool:
+        """Ready for the next message on this connection, if it can carry one."""
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+            return True
+        return False
+
+    def abort(self) -> None:
+        self.writer.transport.abort()
+
+
+async def dial(host: str, port: int) -> Link:
+    """A client's connection."""
+    loop = asyncio.get_running_loop()
+    reader = WatchedReader(loop=loop)
+    transport, protocol = await loop.create_connection(
+        lambda: asyncio.StreamReaderProtocol(reader, loop=loop), host, port)
+    return Link(reader, asyncio.StreamWriter(transport, protocol, reader, loop), h11.CLIENT)
--- /dev/null
+++ b/larklb/net/machines.py
@@ -0,0 +1,133 @@
+"""The machine list: recalled at the start, then watched at discovery."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from dataclasses import dataclass
+
+import h11
+import msgspec
+
+from larklb import interface as io
+from larklb.core import Core
+from larklb.net.http import Link, dial
+from larklb.settings import Config, ConfigError, MachineList, address
+
+log = logging.getLogger(__name__)
+
+_STATES = {"up": io.State.UP, "draining": io.State.DRAINING, "removed": io.State.GONE}
+RETRY_FIRST, RETRY_MOST = 50.0, 1000.0     # ms between tries to watch
+MOST_LINE = 4 * 1024 * 1024                # of a list; a longer one is not a list
+DIAL = 2000.0                              # ms for a connection to discovery
+
+
+@dataclass
+class Machine:
+    """Where an execute node is dialled, and since when it wants nothing new."""
+
+    place: tuple[str, int]
+    closed_at: float | None = None
+
+
+class Machines:
+    """The execute nodes by the name that all limiters share."""
+
+    def __init__(self, config: Config, core: Core) -> None:
+        self.core, self.wheel, self.where = core, core.wheel, config.discovery
+        self.of: dict[str, Machine] = {}
+        self.generation = 0
+        # Fixed once: the same start must always give the same instant, or the module sees a new process.
+        self.offset = self.wheel.now() - time.time() * 1000.0
+        if config.known is not None:
+            self.apply(config.known, io.ListKind.RECALLED)
+
+    def addresses(self) -> set[tuple[str, int]]:
+        return {m.place for m in self.of.values() if m.closed_at is None}
+
+    def apply(self, news: MachineList, kind: io.ListKind) -> None:
+        now, entries = self.wheel.now(), []
+        for i in news.instances:
+            state = _STATES.get(i.lifecycle)
+            try:
+                place = address(i.host_port)
+            except ConfigError:
+                state = None
+            if state is None:
+                # One entry that makes no sense must not cost the others.
+                self.core.counters.add("errors.list_entry")
+                continue
+            known = self.of.get(i.instance_id)
+            closed_at = None if state is io.State.UP else now
+            if known is not None and known.closed_at is not None and closed_at is not None:
+                closed_at = known.closed_at
+            if known is None:
+                self.of[i.instance_id] = Machine(place, closed_at)
+            else:
+                known.place, known.closed_at = place, closed_at
+            entries.append(io.Entry(
+                server=i.instance_id, zone=i.zone, kind=i.machine_type, cell=i.cell, state=state,
+                weight=i.weight, started=i.started_at_ms + self.offset if i.started_at_ms else None))
+        if kind is not io.ListKind.CHANGES:
+            named = {e.server for e in entries}
+            for name, machine in self.of.items():
+                if name not in named and machine.closed_at is None:
+                    machine.closed_at = now
+        for name, machine in list(self.of.items()):
+            # Long gone: attempts that were out there are over.
+            if machine.closed_at is not None and now - machine.closed_at > 60000.0:
+                del self.of[name]
+        self.generation = max(self.generation, news.generation)
+        self.core.counters.add(f"list.{kind.value}")
+        self.core.feed(io.ServerList(kind, news.generation, tuple(entries)))
+
+    async def watch(self) -> None:
+        """Watches for good; a watch that ends is taken up again at the version it had come to."""
+        wait = RETRY_FIRST
+        while True:
+            version = self.generation
+            try:
+                await self._watch_once()
+            except (OSError, h11.RemoteProtocolError, msgspec.DecodeError) as error:
+                self.core.counters.add("errors.watch")
+                log.warning("machine list: %s", error or type(error).__name__)
+            wait = RETRY_FIRST if self.generation != version else min(wait * 2, RETRY_MOST)
+            await self.wheel.sleep(wait)
+
+    async def _watch_once(self) -> None:
+        dialling = asyncio.ensure_future(dial(*self.where))
+        timer = self.wheel.after(DIAL, dialling.cancel)
+        await asyncio.wait((dialling,))
+        timer.cancel()
+        if dialling.cancelled():
+            raise TimeoutError("discovery cannot be reached")
+        link = dialling.result()
+        try:
+            target = f"/v1/servers?watch=1&from={self.generation}"
+            link.write(h11.Request(method="GET", target=target, headers=[("Host", "discovery")]))
+            await self._lines(link)
+        finally:
+            link.abort()
+
+    async def _lines(self, link: Link) -> None:
+        rest = b""
+        while True:
+            event = link.http.next_event()
+            if event is h11.NEED_DATA:
+                link.http.receive_data(await link.reader.read(65536))
+            elif isinstance(event, h11.Response) and event.status_code != 200:
+                raise OSError(f"discovery answers {event.status_code}")
+            elif isinstance(event, h11.Data):
+                *lines, rest = (rest + bytes(event.data)).split(b"\n")
+                for line in lines:
+                    self._line(line)
+                if len(rest) > MOST_LINE:
+                    raise OSError("discovery sends a line without end")
+            elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                return
+
+    def _line(self, line: bytes) -> None:
+        if line.strip():
+            news = msgspec.json.decode(line, type=MachineList)
+            self.apply(news, io.ListKind.WHOLE if news.reset else io.ListKind.CHANGES)
--- /dev/null
+++ b/larklb/settings.py
@@ -0,0 +1,115 @@
+"""What an instance is told: the EDGE_* variables and the JSON configuration, checked once."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from larklb import interface as io
+from larklb.benchlink import settings_of
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text is one plain line."""
+
+
+class Instance(msgspec.Struct, rename="camel"):
+    """One execute node as discovery writes it."""
+
+    instance_id: str
+    host_port: str
+    zone: str = ""
+    machine_type: str = ""
+    cell: int = 0
+    lifecycle: str = "up"
+    weight: float = 1.0
+    started_at_ms: float = 0.0
+
+
+class MachineList(msgspec.Struct):
+    """A machine list, whole (``reset``) or the changes since another one."""
+
+    generation: int
+    reset: bool = False
+    instances: list[Instance] = []
+
+
+class Limits(msgspec.Struct):
+    cores: float = 1.0
+    memory_mb: int = 192
+    sockets: int = 1024
+
+
+class _File(msgspec.Struct):
+    settings: dict[str, Any]
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    seed: str = "0"
+    limits: Limits = msgspec.field(default_factory=Limits)
+    peer_listen: str = ""
+    peers: list[str] = []
+    known: MachineList | None = None
+
+
+class Config(msgspec.Struct, frozen=True):
+    """All of it, in the form that the program uses."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    peer_listen: tuple[str, int] | None
+    peers: tuple[tuple[str, int], ...]
+    known: MachineList | None
+    settings: io.Settings
+    dial_timeout: float
+    conn_idle: float
+
+
+def address(text: str) -> tuple[str, int]:
+    """Host and port of ``host:port`` or ``[v6]:port``."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{text!r} is no host:port")
+    return host.strip("[]"), int(port)
+
+
+def load(env: Mapping[str, str] = os.environ) -> Config:
+    """The instance's configuration; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY win over the file."""
+    path = env.get("EDGE_CONFIG", "")
+    if not path:
+        raise ConfigError("EDGE_CONFIG names no configuration file")
+    try:
+        raw = msgspec.json.decode(Path(path).read_bytes(), type=_File)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+    try:
+        settings = settings_of(raw.settings)
+        limits = raw.settings["limits"]
+        dial, idle = float(limits.get("dial_timeout") or 250.0), float(limits.get("conn_idle") or 30000.0)
+    except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"{path}: settings: {type(error).__name__}: {error}") from error
+    try:
+        seed = int(raw.seed, 16)
+    except ValueError as error:
+        raise ConfigError(f"{path}: seed {raw.seed!r} is no hex number") from error
+    peers = tuple(address(peer) for peer in raw.peers)
+    if settings.can_tell and settings.gateways > 1 and len(peers) != settings.gateways:
+        raise ConfigError(f"{path}: {len(peers)} peers for {settings.gateways} limiters")
+    if raw.limits.sockets < 64:
+        raise ConfigError(f"{path}: {raw.limits.sockets} sockets are too few")
+    return Config(
+        name=env.get("EDGE_NAME") or raw.name or "limiter",
+        listen=address(env.get("EDGE_LISTEN") or raw.listen),
+        discovery=address(env.get("EDGE_DISCOVERY") or raw.discovery), seed=seed,
+        sockets=min(raw.limits.sockets, 1024), peers=peers,
+        peer_listen=address(raw.peer_listen) if raw.peer_listen else None,
+        known=raw.known, settings=settings, dial_timeout=dial, conn_idle=idle)
--- /dev/null
+++ b/larklb/wheel.py
@@ -0,0 +1,87 @@
+"""A timer wheel of coarse ticks: everything that falls due in one tick shares one wake-up of the loop."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import logging
+import math
+from collections.abc import Callable
+from typing import Any
+
+log = logging.getLogger(__name__)
+
+
+class Timer:
+    """One entry of the wheel; a cancelled one stays in its slot and does nothing."""
+
+    __slots__ = ("act", "args")
+
+    def __init__(self, act: Callable[..., object], args: tuple[Any, ...]) -> None:
+        self.act: Callable[..., object] | None = act
+        self.args = args
+
+    def cancel(self) -> None:
+        self.act, self.args = None, ()
+
+
+class Wheel:
+    """The program's one clock, in monotonic milliseconds, and its timers; they fire late, never early."""
+
+    def __init__(self, tick: float) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.tick = max(1.0, tick)
+        self.slots: dict[int, list[Timer]] = {}
+        self.order: list[int] = []               # a heap of the slots in use
+        self.armed: tuple[int, asyncio.TimerHandle] | None = None
+        self.failures = 0
+
+    def now(self) -> float:
+        return self.loop.time() * 1000.0
+
+    def after(self, delay: float, act: Callable[..., object], *args: Any) -> Timer:
+        number = math.ceil((self.now() + max(0.0, delay)) / self.tick)
+        timer = Timer(act, args)
+        slot = self.slots.get(number)
+        if slot is None:
+            self.slots[number] = [timer]
+            heapq.heappush(self.order, number)
+            self._arm()
+        else:
+            slot.append(timer)
+        return timer
+
+    def _arm(self) -> None:
+        first = self.order[0]
+        if self.armed is not None:
+            if self.armed[0] <= first:
+                return
+            self.armed[1].cancel()
+        self.armed = (first, self.loop.call_at(first * self.tick / 1000.0, self._turn))
+
+    def _turn(self) -> None:
+        self.armed = None
+        now = self.now()
+        # The loop may wake a clock step early: what is due within a tenth of a tick counts as due.
+        while self.order and self.order[0] * self.tick <= now + 0.1 * self.tick:
+            for timer in self.slots.pop(heapq.heappop(self.order)):
+                if timer.act is None:
+                    continue
+                try:
+                    timer.act(*timer.args)
+                except Exception:
+                    # One timer's failure must not take the others of its tick with it.
+                    self.failures += 1
+                    log.exception("a timer failed")
+        if self.order:
+            self._arm()
+
+    async def sleep(self, delay: float) -> None:
+        done: asyncio.Future[None] = self.loop.create_future()
+
+        def wake() -> None:
+            if not done.done():
+                done.set_result(None)
+
+        self.after(delay, wake)
+        await done
