Add the gRPC rate limit service, the Redis store, the agent and socket tests

The quota question is a request kind of the module (Request.question) that ends in a Grant. (2) A client that leaves mid-question whose verdict was lost left its units taken (decide.py, ClientGone went straight to _over): now its ask is released unheard. (3) A verdict that came after the fallback had let a job in and the job was done released units that were used (decide.py, _verdict): only unused units go back now.

--- a/larklb/benchlink.py
+++ b/larklb/benchlink.py
@@ -106,6 +106,8 @@
             return ["keep_informed", instance, a.on]
         case io.Log():
             return ["print", instance, a.text]
+        case io.Grant():
+            raise WireError("a grant answers a question, and the wire asks none")
 
 
 class Link:
--- a/larklb/cli.py
+++ b/larklb/cli.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import sys
+import urllib.error
+import urllib.request
+from pathlib import Path
+from typing import Annotated
 
 import typer
 
@@ -10,6 +14,12 @@
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                   help="A quota-keeping limiter.")
+OperatorFile = Annotated[Path, typer.Argument(help="The operator's file (TOML).")]
+
+
+def _stop(error: Exception) -> typer.Exit:
+    print(f"larklb: {error}", file=sys.stderr)
+    return typer.Exit(2)
 
 
 @app.command()
@@ -19,13 +29,47 @@
 
 
 @app.command()
-def serve() -> None:
+def serve(operator: Annotated[Path | None, typer.Option(help="An operator's file that adds to it.")] = None,
+          ) -> None:
     """Run one limiter, as the EDGE_* variables and their configuration file say."""
     from larklb import serve as program
-    from larklb.settings import ConfigError, load
+    from larklb.settings import ConfigError, load, load_operator
     try:
         config = load()
+        more = load_operator(operator) if operator is not None else None
+        entry = more.of(config.name) if more is not None else None
+    except ConfigError as error:
+        raise _stop(error) from error
+    program.run(config, entry, more.store if more is not None else None)
+
+
+@app.command()
+def agent(operator: OperatorFile) -> None:
+    """Start the instances of an operator's file, watch and restart them; SIGTERM drains them all."""
+    from larklb import agent as program
+    from larklb.settings import ConfigError, load_operator
+    try:
+        loaded = load_operator(operator)
+    except ConfigError as error:
+        raise _stop(error) from error
+    raise typer.Exit(program.run(operator, loaded))
+
+
+@app.command()
+def status(operator: OperatorFile) -> None:
+    """Ask each instance of an operator's file for its counters, a line each; 1 if any does not answer."""
+    from larklb.settings import ConfigError, load, load_operator
+    silent = 0
+    try:
+        for entry in load_operator(operator).instance:
+            config = load({"EDGE_NAME": entry.name, "EDGE_CONFIG": str(operator.parent / entry.config)})
+            host, port = config.listen
+            try:
+                with urllib.request.urlopen(f"http://{host}:{port}/counters", timeout=2) as answer:
+                    print(answer.read().decode())
+            except (urllib.error.URLError, OSError) as error:
+                print(f"{entry.name} does not answer: {error}")
+                silent += 1
     except ConfigError as error:
-        print(f"larklb: {error}", file=sys.stderr)
-        raise typer.Exit(2) from error
-    program.run(config)
+        raise _stop(error) from error
+    raise typer.Exit(1 if silent else 0)
--- a/larklb/core.py
+++ b/larklb/core.py
@@ -88,7 +88,7 @@
                     job = self.jobs.get(a.request)
                     if job is not None and job.stop is not None and a.attempt == job.attempts - 1:
                         job.stop(io.Result.CANCELLED)
-                case io.Send() | io.Refuse() | io.Fail():
+                case io.Send() | io.Grant() | io.Refuse() | io.Fail():
                     if a.request in self.jobs:
                         self.jobs[a.request].put(a)
                 case io.Probe():
--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -208,7 +208,7 @@
             case io.ServerList():
                 self._list(now, event)
             case io.ClientGone() if event.request in self.held:
-                self._over(now, self.held[event.request])
+                self._gone(now, self.held[event.request])
             case io.StreamStarted() if event.request in self.held:
                 self.held[event.request].ended = True
         for peer in [p for p, at in self.dirty.items() if at <= now]:
@@ -246,6 +246,19 @@
         self.owners.clear()
         self._after(self.most_due / 4, self._clean)
 
+    def bucket_rows(self) -> list[tuple[int, str, float, float]]:
+        """The owned buckets for a store: customer, plan, tokens and when they were counted."""
+        return [(key, self.s.plans[p].name, b.tokens, b.at) for key, (p, b) in self.buckets.items()]
+
+    def restore(self, now: float, rows: Sequence[tuple[int, str, float, float]]) -> int:
+        """Buckets from a store, to be called before the first request; of unknown plans none are kept."""
+        for key, plan_name, tokens, at in rows:
+            if plan_name in self.plans and at <= now:
+                number, plan = self.plans[plan_name]
+                bucket = TokenBucket(plan.rate, plan.burst, min(plan.burst, tokens), at)
+                self.buckets[key] = (number, bucket)
+        return len(self.buckets)
+
     def _bucket(self, now: float, key: int, plan_number: int) -> TokenBucket:
         if key not in self.buckets:
             plan = self.s.plans[plan_number]
@@ -303,7 +316,7 @@
         if ring not in self.owners:
             self.owners[ring] = ring_owner(key, [(e.first + i) % self.s.gateways for i in range(spread)])
         h = Held(e.request, self.classes[e.service], plan, number, key, e.units, e.due, now,
-                 self.owners[ring], spread)
+                 self.owners[ring], spread, e.question)
         self.held[e.request] = h
         self._after(e.due - now - 2 * self.s.tick, lambda t: self._next(t, h))
         if not plan.rate and not plan.most_open:
@@ -491,7 +504,8 @@
         self.copies[h.key] = Copy(h.plan_number, v.left, v.open, now, refused)
         if h.asking != v.number or h.ended:        # too late to be used, but it still mended the copy
             if v.granted and (h.ended or not h.admitted):
-                self._tell(sender, pw.Release(v.number, h.units))
+                if h.unused() or h.plan.most_open:      # what the fallback let in keeps its units taken
+                    self._tell(sender, pw.Release(v.number, h.unused()))
             elif v.granted:
                 h.grant = (sender, v.number)
             return
@@ -601,6 +615,9 @@
     def _go(self, now: float, h: Held) -> None:
         """Admitted, or in need of another attempt."""
         h.admitted = True
+        if h.question:
+            self.actions.append(io.Grant(h.request))
+            return self._over(now, h)
         server = self._choose(now, h)
         if server is not None:
             self._send(now, h, server)
@@ -704,11 +721,18 @@
         """Refused where trying again is harmless for sure, else failed (rule 2)."""
         harmless = (h.cls.repeat is io.Repeat.SAFE or not h.ran()
                     or (h.cls.repeat is io.Repeat.KEYED and h.cls.group is io.Group.ALL))
-        wait = min(retry_after, self.s.max_retry_after)
+        wait = retry_after if h.question else min(retry_after, self.s.max_retry_after)
         over_quota = not h.admitted and now < h.due - 2 * self.s.tick
+        harmless = harmless and (over_quota or not h.question)    # no word in time is not a word
         self.actions.append(io.Refuse(h.request, wait, over_quota) if harmless else io.Fail(h.request))
         self._over(now, h)
 
+    def _gone(self, now: float, h: Held) -> None:
+        """The client left: what its ask may be granted is given back unheard, for verdicts get lost."""
+        if h.asking is not None:
+            self._tell(h.owner, pw.Release(h.asking, h.units))
+        self._over(now, h)
+
     def _over(self, now: float, h: Held, true_units: float | None = None) -> None:
         """The client has its answer; once nothing is out any more the lease ends too."""
         h.ended = True
@@ -718,7 +742,7 @@
         if h.grant is None:
             return
         owner, number = h.grant
-        back = 0.0 if h.attempts else h.units
+        back = h.unused()
         back = h.units - true_units if self.s.trued_up and true_units else back
         if owner == self.s.number:
             self._lease_over(now, h.grant, back)
--- a/larklb/interface.py
+++ b/larklb/interface.py
@@ -179,6 +179,7 @@
     first: int = 0
     spread: int = 1
     repeat: bool = False
+    question: bool = False      # asks for the quota's word alone: ends in a Grant instead of a Send
 
 
 @dataclass(frozen=True)
@@ -257,6 +258,13 @@
     timeout: float = 0.0
 
 
+@dataclass(frozen=True)
+class Grant:
+    """Final answer to a question: its units are taken."""
+
+    request: str
+
+
 @dataclass(frozen=True)
 class Refuse:
     """Final answer: trying again is harmless; no hint with ``retry_after`` 0; ``over_quota``: the cause."""
@@ -306,4 +314,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Probe | Tell | SetTimer | Subscribe | Log
+Action = Send | Grant | Refuse | Fail | Cancel | Probe | Tell | SetTimer | Subscribe | Log
--- a/larklb/net/front.py
+++ b/larklb/net/front.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import logging
-import math
 from typing import NamedTuple
 
 import h11
 
 from larklb import interface as io
 from larklb.core import Core, Job
+from larklb.fields import MalformedError, account, quota_info
 from larklb.net.execute import Content, Ended, ExecuteNodes
 from larklb.net.http import Link, TooLongError, WatchedReader
 from larklb.settings import Config
@@ -25,10 +25,6 @@
 _PASSED = (b"x-correlation-id", b"idempotency-key", b"x-service-class", b"content-type")
 
 
-class MalformedError(Exception):
-    """The message is no job; the text says why."""
-
-
 class Answer(NamedTuple):
     status: int
     body: bytes = b""
@@ -37,25 +33,6 @@
     close: bool = False
 
 
-def quota_info(text: str) -> tuple[float, int, int]:
-    """Units, spread and first of ``units=2,spread=3,first=1``, in any order; units default to 1."""
-    fields = dict(part.strip().partition("=")[::2] for part in text.split(","))
-    try:
-        units, spread, first = float(fields.get("units", "1")), int(fields["spread"]), int(fields["first"])
-    except (KeyError, ValueError) as error:
-        raise MalformedError(f"quota information {text!r} makes no sense") from error
-    if not (math.isfinite(units) and units > 0 and spread >= 1 and first >= 0):
-        raise MalformedError(f"quota information {text!r} makes no sense")
-    return units, spread, first
-
-
-def account(text: str) -> str:
-    """The customer: 16 hex digits."""
-    if len(text) != 16 or not all(c in "0123456789abcdefABCDEF" for c in text):
-        raise MalformedError("the account is no 16 hex digits")
-    return text
-
-
 def parse(head: h11.Request, body: bytes, now: float, core: Core) -> tuple[io.Request, Content]:
     """The job in a message; only what the decisions need is taken out of it."""
     headers = {name: value for name, value in head.headers}
--- a/larklb/records.py
+++ b/larklb/records.py
@@ -33,6 +33,7 @@
     came: float
     owner: int
     spread: int
+    question: bool = False                 # wants the quota's word, no server
     grant: tuple[int, int] | None = None   # (owner, number of the ask) that its lease stands under
     asking: int | None = None              # number of the ask that it waits for
     admitted: bool = False
@@ -42,6 +43,10 @@
     def out(self) -> bool:
         return any(a.out for a in self.attempts)
 
+    def unused(self) -> float:
+        """Units that no attempt and no answered question has used."""
+        return 0.0 if self.attempts or self.question and self.admitted else self.units
+
     def ran(self) -> list[Attempt]:
         return [a for a in self.attempts if a.may_have_run]
 
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -8,6 +8,7 @@
 import logging
 import signal
 import sys
+from typing import TYPE_CHECKING
 
 from larklb.core import Core
 from larklb.counters import Counters
@@ -15,13 +16,17 @@
 from larklb.net.execute import ExecuteNodes
 from larklb.net.front import Front
 from larklb.net.machines import Machines
-from larklb.settings import Config
+from larklb.settings import Config, InstanceEntry, StoreEntry
 from larklb.wheel import Wheel
 
+if TYPE_CHECKING:
+    from larklb.grpc.front import RateLimitFront
+    from larklb.store import BucketStore
+
 log = logging.getLogger(__name__)
 
 
-async def _run(config: Config) -> None:
+async def _run(config: Config, entry: InstanceEntry | None, store_entry: StoreEntry | None) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     counters = Counters(config.name)
@@ -31,30 +36,57 @@
     wheel = Wheel(config.settings.tick)
     core = Core(config.settings, config.seed, wheel, counters)
     core.start()
+    store = await _store(config, store_entry, core) if store_entry is not None else None
     machines = Machines(config, core)
     listener = await peers.listen(config, core)
     front = Front(config, core, ExecuteNodes(config, core, machines))
-    watch = loop.create_task(machines.watch())
-    watch.add_done_callback(_watch_ended)
+    tasks = [_background(machines.watch())]
+    if store is not None:
+        tasks.append(_background(store.run()))
+    second = await _second_front(entry.grpc, core) if entry is not None and entry.grpc else None
     await front.start()
     gc.collect()
     gc.freeze()            # what stays for good need not be looked through again
     await stop.wait()
-    await front.stop()
-    watch.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await watch
+    await asyncio.gather(front.stop(), *((second.stop(),) if second is not None else ()))
+    for task in tasks:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+    if store is not None:
+        await store.close()
     if listener is not None and listener.transport is not None:
         listener.transport.close()
     print(counters.as_json(), file=sys.stderr, flush=True)
 
 
-def _watch_ended(task: asyncio.Task[None]) -> None:
+async def _second_front(listen: str, core: Core) -> RateLimitFront:
+    """Imported here alone: without it neither gRPC nor its memory is there."""
+    from larklb.grpc.front import RateLimitFront
+    front = RateLimitFront(listen, core)
+    await front.start()
+    return front
+
+
+async def _store(config: Config, entry: StoreEntry, core: Core) -> BucketStore:
+    from larklb.store import BucketStore
+    store = BucketStore(entry.url, f"{entry.prefix}:{config.name}", core)
+    await store.reload()
+    return store
+
+
+def _background(work: object) -> asyncio.Task[None]:
+    task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)     # type: ignore[arg-type]
+    task.add_done_callback(_ended)
+    return task
+
+
+def _ended(task: asyncio.Task[None]) -> None:
     if not task.cancelled() and task.exception() is not None:
-        log.error("the watch of the machine list has failed", exc_info=task.exception())
+        log.error("a background task has failed", exc_info=task.exception())
 
 
-def run(config: Config) -> None:
+def run(config: Config, entry: InstanceEntry | None = None, store: StoreEntry | None = None) -> None:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format=f"{config.name} %(levelname)s %(message)s")
-    asyncio.run(_run(config))
+    asyncio.run(_run(config, entry, store))
--- a/larklb/settings.py
+++ b/larklb/settings.py
@@ -113,3 +113,45 @@
         sockets=min(raw.limits.sockets, 1024), peers=peers,
         peer_listen=address(raw.peer_listen) if raw.peer_listen else None,
         known=raw.known, settings=settings, dial_timeout=dial, conn_idle=idle)
+
+
+class StoreEntry(msgspec.Struct, forbid_unknown_fields=True):
+    url: str
+    prefix: str = "larklb"
+
+
+class InstanceEntry(msgspec.Struct, forbid_unknown_fields=True):
+    """One instance in an operator's file; ``config`` is a path from that file."""
+
+    name: str
+    config: str
+    grpc: str = ""
+
+
+class Operator(msgspec.Struct, forbid_unknown_fields=True):
+    """An operator's file: the instances that an agent manages, their second front and their store."""
+
+    instance: list[InstanceEntry]
+    store: StoreEntry | None = None
+
+    def of(self, name: str) -> InstanceEntry:
+        for entry in self.instance:
+            if entry.name == name:
+                return entry
+        raise ConfigError(f"the operator's file names no instance {name!r}")
+
+
+def load_operator(path: Path) -> Operator:
+    try:
+        operator = msgspec.toml.decode(path.read_bytes(), type=Operator)
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except (msgspec.DecodeError, ValueError) as error:
+        raise ConfigError(f"{path}: {str(error).splitlines()[0]}") from error
+    names = [entry.name for entry in operator.instance]
+    if not names or len(set(names)) < len(names):
+        raise ConfigError(f"{path}: instances need names of their own")
+    for entry in operator.instance:
+        if entry.grpc:
+            address(entry.grpc)
+    return operator
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,203 @@
+"""The program, started and spoken to over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.standins import ROOT, Yard, ask, http, job, read_answer, served
+
+
+def test_a_job_is_served_with_the_bytes_of_the_execute_node(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            order = job("00000000000000aa", "place-order", body=b"{}")
+            status, _, body = await ask(yard.limiters[0].port, order)
+            assert (status, body) == (200, b"done 00000000000000aa")
+            assert yard.seen() == {"00000000000000aa": 1}
+    asyncio.run(go())
+
+
+@pytest.mark.parametrize("text,status", [
+    ("nonsense\r\n\r\n", 400), (job(service="stock-check").replace("stock-check", "no-such"), 400),
+    (job(plan="none"), 400), (job().replace("Account: 0", "Account: x"), 400),
+    (job().replace("X-Time-Left: 3.000", "X-Time-Left: nan"), 400),
+    (job().replace("spread=1", "spread=0"), 400),
+    (job().replace("GET", "POST", 1), 400), (job(service="place-order", body=b"x" * 65537), 413)])
+def test_what_is_no_job_is_told_so(tmp_path: Path, text: str, status: int) -> None:
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            assert (await ask(yard.limiters[0].port, text))[0] == status
+            assert (await ask(yard.limiters[0].port, job()))[0] == 200, "and the next one is served"
+            assert yard.seen().total() == 1
+    asyncio.run(go())
+
+
+def test_beyond_the_quota_is_429_with_the_time_to_come_back(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            answers = [await ask(yard.limiters[0].port, job(plan="slow")) for _ in range(12)]
+            assert [a[0] for a in answers] == [200] * 10 + [429] * 2
+            assert float(answers[-1][1]["retry-after"]) == pytest.approx(0.5)
+    asyncio.run(go())
+
+
+def test_never_run_goes_elsewhere_and_may_have_run_stays_in_its_cell(tmp_path: Path) -> None:
+    async def unseen(headers: dict[str, str], body: bytes) -> bytes:
+        return http(503, b"", "X-Unprocessed: 1")
+
+    async def broken(headers: dict[str, str], body: bytes) -> None:
+        return None
+
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            yard.nodes[0].reply = unseen
+            answers = [await ask(yard.limiters[0].port, job(service="place-order")) for _ in range(6)]
+            assert {a[0] for a in answers} == {200}
+            yard.nodes[1].cell = 1
+            yard.discovery.tell(2, yard.nodes[1].entry())
+            yard.nodes[0].reply = yard.nodes[1].reply = broken
+            await asyncio.sleep(0.2)
+            before = yard.seen()
+            order = job("00000000000000bb", "place-order", left=1.0)
+            assert (await ask(yard.limiters[0].port, order))[0] == 502
+            tried = [n.name for n in yard.nodes if n.seen["00000000000000bb"]]
+            assert len(tried) == 1 and (yard.seen() - before).total() >= 1
+    asyncio.run(go())
+
+
+def test_a_stale_pooled_connection_costs_no_second_copy(tmp_path: Path) -> None:
+    """A node that closes after each answer: a request on the closed connection would end as a reset."""
+    async def once(headers: dict[str, str], body: bytes) -> bytes:
+        return http(200, b"ok", "Connection: close")
+
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            for node in yard.nodes:
+                node.reply = once
+            for _ in range(8):
+                assert (await ask(yard.limiters[0].port, job(service="place-order")))[0] == 200
+            assert set(yard.seen().values()) == {1}
+            assert "outcome.reset" not in await yard.limiters[0].counters()
+    asyncio.run(go())
+
+
+def test_the_watch_is_taken_up_at_its_version_and_a_draining_node_gets_nothing(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            yard.discovery.tell(5, yard.nodes[0].entry("draining"))
+            await asyncio.sleep(0.3)
+            yard.discovery.cut()
+            for _ in range(4):
+                assert (await ask(yard.limiters[0].port, job()))[0] == 200
+            assert not yard.nodes[0].seen and yard.nodes[1].seen.total() == 4
+            await asyncio.sleep(0.3)
+            assert yard.discovery.asked[0] == 1 and yard.discovery.asked[-1] == 5
+    asyncio.run(go())
+
+
+def test_a_submitter_that_leaves_is_noticed_and_its_job_is_over(tmp_path: Path) -> None:
+    async def silent(headers: dict[str, str], body: bytes) -> None:
+        await asyncio.sleep(30)
+
+    async def go() -> None:
+        async with Yard(tmp_path, nodes=1) as yard:
+            yard.nodes[0].reply = silent
+            _, writer = await asyncio.open_connection("127.0.0.1", yard.limiters[0].port)
+            writer.write(job(left=2.0).encode())
+            await asyncio.sleep(0.3)
+            writer.close()
+            await asyncio.sleep(0.3)
+            assert (await yard.limiters[0].counters())["gone"] == 1
+            await asyncio.sleep(2.0)
+            assert (await yard.limiters[0].counters())["answered.nobody"] == 1
+    asyncio.run(go())
+
+
+def test_garbage_datagrams_are_counted_and_dropped(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with Yard(tmp_path, limiters=2) as yard:
+            loop = asyncio.get_running_loop()
+            transport, _ = await loop.create_datagram_endpoint(
+                asyncio.DatagramProtocol, remote_addr=("127.0.0.1", yard.peers[0]))
+            for data in (b"\xb1", b"x" * 256, b"x" * 2000):
+                transport.sendto(data)
+            await asyncio.sleep(0.2)
+            transport.close()
+            assert (await yard.limiters[0].counters())["peer.dropped"] == 3
+            assert (await ask(yard.limiters[0].port, job(spread=2)))[0] == 200
+    asyncio.run(go())
+
+
+def test_sigterm_finishes_what_was_taken_and_takes_what_still_arrives(tmp_path: Path) -> None:
+    async def slow(headers: dict[str, str], body: bytes) -> bytes:
+        await asyncio.sleep(0.8)
+        return await served(headers, body)
+
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            for node in yard.nodes:
+                node.reply = slow
+            limiter = yard.limiters[0]
+            idle, _ = await asyncio.open_connection("127.0.0.1", limiter.port)
+            kept_reader, kept = await asyncio.open_connection("127.0.0.1", limiter.port)
+            kept.write(job().encode())
+            await asyncio.sleep(0.2)
+            stopped = asyncio.ensure_future(limiter.stop())
+            await asyncio.sleep(0.2)
+            late = asyncio.ensure_future(ask(limiter.port, job()))
+            status, headers, _ = await read_answer(kept_reader)
+            assert (status, headers["connection"]) == (200, "close")
+            assert (await late)[0] == 200
+            assert await idle.read() == b""
+            assert await stopped == 0
+            counts = json.loads(limiter.errors.decode().splitlines()[-1])["counts"]
+            assert counts["answered.served"] == counts["taken.http.stock-check"] == 2
+    asyncio.run(go())
+
+
+@pytest.mark.parametrize("text", ["", "{", '{"settings":{}}', '{"settings":{"limits":1}}'])
+def test_a_bad_configuration_is_one_plain_line_and_exit_2(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "c.json"
+    path.write_text(text)
+    env = {**os.environ, "EDGE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+    done = subprocess.run([sys.executable, "-m", "larklb", "serve"], env=env, capture_output=True, timeout=60)
+    assert done.returncode == 2 and done.stderr.startswith(b"larklb: ") and done.stderr.count(b"\n") == 1
+
+
+def test_the_agent_restarts_an_instance_that_dies_and_drains_at_its_end(tmp_path: Path) -> None:
+    async def go() -> None:
+        yard = Yard(tmp_path, limiters=2, second_front=False)
+        await yard.discovery.start()
+        for limiter in yard.limiters:
+            limiter.config()
+        env = {**os.environ, "PYTHONPATH": str(ROOT)}
+        command = (sys.executable, "-m", "larklb")
+        agent = await asyncio.create_subprocess_exec(*command, "agent", str(yard.operator()), env=env,
+                                                     stderr=asyncio.subprocess.PIPE)
+        try:
+            for limiter in yard.limiters:
+                await limiter.ready()
+            status = await asyncio.create_subprocess_exec(*command, "status", str(yard.operator()), env=env,
+                                                          stdout=asyncio.subprocess.PIPE)
+            lines = (await status.communicate())[0].splitlines()
+            assert [json.loads(line)["name"] for line in lines] == ["n0", "n1"] and status.returncode == 0
+            assert agent.stderr is not None
+            while b"n0 started as" not in (line := await agent.stderr.readline()):
+                assert line
+            os.kill(int(line.split()[-1]), signal.SIGKILL)
+            while b"n0 ended with -9" not in await agent.stderr.readline():
+                pass
+            await yard.limiters[0].ready()
+        finally:
+            agent.send_signal(signal.SIGTERM)
+            _, errors = await asyncio.wait_for(agent.communicate(), 30)
+        assert agent.returncode == 0 and errors.count(b"drained with 0") == 2
+    asyncio.run(go())
