--- a/larklb/cli.py
+++ b/larklb/cli.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import sys
-import urllib.error
-import urllib.request
 from pathlib import Path
 from typing import Annotated
 
@@ -58,6 +56,9 @@
 @app.command()
 def status(operator: OperatorFile) -> None:
     """Ask each instance of an operator's file for its counters, a line each; 1 if any does not answer."""
+    import urllib.error  # here alone: a limiter that starts again must not wait for it
+    import urllib.request
+
     from larklb.settings import ConfigError, load, load_operator
     silent = 0
     try:
--- a/larklb/net/execute.py
+++ b/larklb/net/execute.py
@@ -11,7 +11,7 @@
 
 from larklb import interface as io
 from larklb.core import Core, Job
-from larklb.net.http import Link, TooLongError, dial
+from larklb.net.http import Link, TooLongError, dial, finished
 from larklb.net.machines import Machines
 from larklb.settings import Config
 
@@ -105,18 +105,14 @@
         self.open += 1
         self.core.counters.add("dialled")
         attempt.dialling = asyncio.ensure_future(dial(*place))
-        timer = self.wheel.after(within, attempt.dialling.cancel)
+        link = None
         try:
-            await asyncio.wait((attempt.dialling,))
+            link = await finished(attempt.dialling, within, self.wheel)
         finally:
-            timer.cancel()
-            dialling, attempt.dialling = attempt.dialling, None
-            if not dialling.done():
-                dialling.cancel()
-        if not dialling.cancelled() and dialling.exception() is None:
-            return dialling.result()
-        self.open -= 1
-        return None
+            attempt.dialling = None
+            if link is None:
+                self.open -= 1
+        return link
 
     # Attempts -----------------------------------------------------------------------------
 
--- a/larklb/net/front.py
+++ b/larklb/net/front.py
@@ -18,10 +18,12 @@
 log = logging.getLogger(__name__)
 
 SOCKETS_PART = 0.5         # of the descriptors may be submitters' connections
+SPARE = 48                 # more than that while idle ones are closing
 MOST_TIME_S = 600.0        # that a submitter may say it waits
 HALF_MESSAGE = 10000.0     # ms for the rest of a message that was begun
 SWEEP = 1000.0
 LINGER = 700.0             # ms after SIGTERM in which what still arrives is taken
+_NEEDED = (b"x-correlation-id", b"x-service-class", b"plan", b"account", b"x-time-left", b"quota-info")
 _PASSED = (b"x-correlation-id", b"idempotency-key", b"x-service-class", b"content-type")
 
 
@@ -35,15 +37,11 @@
 
 def parse(head: h11.Request, body: bytes, now: float, core: Core) -> tuple[io.Request, Content]:
     """The job in a message; only what the decisions need is taken out of it."""
-    headers = {name: value for name, value in head.headers}
-
-    def text(name: str) -> str:
-        try:
-            return headers[name.encode()].decode("ascii")
-        except (KeyError, UnicodeDecodeError) as error:
-            raise MalformedError(f"no usable {name}") from error
-
-    name, service, plan = text("x-correlation-id"), text("x-service-class"), text("plan")
+    headers = dict(head.headers)
+    try:
+        name, service, plan, customer, left, info = [headers[n].decode("ascii") for n in _NEEDED]
+    except (KeyError, UnicodeDecodeError) as error:
+        raise MalformedError("a header that every job has is missing") from error
     cls = core.classes.get(service)
     if cls is None or plan not in core.plans:
         raise MalformedError("unknown class or plan")
@@ -52,19 +50,19 @@
         raise MalformedError("the path does not begin with the class")
     if head.method != (b"GET" if cls.repeat is io.Repeat.SAFE else b"POST"):
         raise MalformedError("the class has another method")
-    if cls.repeat is io.Repeat.KEYED:
-        text("idempotency-key")
+    if cls.repeat is io.Repeat.KEYED and not headers.get(b"idempotency-key"):
+        raise MalformedError("the class needs a key")
     try:
-        wait = float(text("x-time-left"))
+        wait = float(left)
     except ValueError as error:
         raise MalformedError("x-time-left is no number") from error
     if not 0 < wait <= MOST_TIME_S:
         raise MalformedError("x-time-left makes no sense")
-    units, spread, first = quota_info(text("quota-info"))
-    request = io.Request(request=name, service=service, plan=plan, customer=account(text("account")),
+    units, spread, first = quota_info(info)
+    request = io.Request(request=name, service=service, plan=plan, customer=account(customer),
                          due=now + wait * 1000.0, units=units, first=first, spread=spread,
                          repeat=headers.get(b"x-repeat") == b"1")
-    passed = tuple((n, v) for n, v in head.headers.raw_items() if n.lower() in _PASSED)
+    passed = tuple((n, headers[n]) for n in _PASSED if n in headers)
     if body or head.method == b"POST":
         passed += ((b"Content-Length", b"%d" % len(body)),)
     return request, Content(head.method, head.target, passed, body)
@@ -109,7 +107,7 @@
         if self.server is not None:
             self.server.close()
         self._close_idle()
-        if self.tasks:
+        while self.tasks:
             await asyncio.wait(self.tasks)
 
     def _close_idle(self) -> None:
@@ -126,17 +124,22 @@
                 link.abort()
         self.wheel.after(SWEEP, self._sweep)
 
-    def _make_room(self) -> None:
-        """More connections than planned for: those idle longest go."""
+    def _make_room(self) -> bool:
+        """More connections than planned for: those idle longest go.  False where even that is not enough."""
         if len(self.links) <= self.most:
-            return
+            return True
         idle = [link for link in self.links if not link.busy and not link.partial() and link.since]
         for link in sorted(idle, key=lambda x: x.since)[:len(self.links) - self.most]:
             link.writer.close()
+        return len(self.links) <= self.most + SPARE
 
     async def _connection(self, link: Link) -> None:
+        if not self._make_room():
+            # Past this the descriptors run out, and with them the jobs that were taken.
+            self.core.counters.add("errors.too_many_submitters")
+            link.abort()
+            return
         self.links[link] = None
-        self._make_room()
         try:
             while await self._message(link):
                 link.since = self.wheel.now()
--- a/larklb/net/http.py
+++ b/larklb/net/http.py
@@ -8,6 +8,8 @@
 
 import h11
 
+from larklb.wheel import Wheel
+
 MOST_BODY = 64 * 1024
 _CHUNK = 64 * 1024
 
@@ -100,6 +102,19 @@
         self.writer.transport.abort()
 
 
+async def finished(dialling: asyncio.Future[Link], within: float, wheel: Wheel) -> Link | None:
+    """The connection, or None if it was refused, called off or not there in time."""
+    timer = wheel.after(within, dialling.cancel)
+    try:
+        await asyncio.wait((dialling,))
+    finally:
+        timer.cancel()
+        # Whoever waited may have been called off: then nobody else reads what became of it.
+        dialling.add_done_callback(lambda done: done.cancelled() or done.exception())
+        dialling.cancel()
+    return None if dialling.cancelled() or dialling.exception() is not None else dialling.result()
+
+
 async def dial(host: str, port: int) -> Link:
     """A client's connection."""
     loop = asyncio.get_running_loop()
--- a/larklb/net/machines.py
+++ b/larklb/net/machines.py
@@ -12,7 +12,7 @@
 
 from larklb import interface as io
 from larklb.core import Core
-from larklb.net.http import Link, dial
+from larklb.net.http import Link, dial, finished
 from larklb.settings import Config, ConfigError, MachineList, address
 
 log = logging.getLogger(__name__)
@@ -96,13 +96,9 @@
             await self.wheel.sleep(wait)
 
     async def _watch_once(self) -> None:
-        dialling = asyncio.ensure_future(dial(*self.where))
-        timer = self.wheel.after(DIAL, dialling.cancel)
-        await asyncio.wait((dialling,))
-        timer.cancel()
-        if dialling.cancelled():
+        link = await finished(asyncio.ensure_future(dial(*self.where)), DIAL, self.wheel)
+        if link is None:
             raise TimeoutError("discovery cannot be reached")
-        link = dialling.result()
         try:
             target = f"/v1/servers?watch=1&from={self.generation}"
             link.write(h11.Request(method="GET", target=target, headers=[("Host", "discovery")]))
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -8,7 +8,8 @@
 import logging
 import signal
 import sys
-from typing import TYPE_CHECKING
+from collections.abc import Awaitable
+from typing import TYPE_CHECKING, TypeVar
 
 from larklb.core import Core
 from larklb.counters import Counters
@@ -24,6 +25,11 @@
     from larklb.store import BucketStore
 
 log = logging.getLogger(__name__)
+T = TypeVar("T")
+
+
+class StartError(Exception):
+    """The instance cannot listen where it should."""
 
 
 async def _run(config: Config, entry: InstanceEntry | None, store_entry: StoreEntry | None) -> None:
@@ -38,15 +44,16 @@
     core.start()
     store = await _store(config, store_entry, core) if store_entry is not None else None
     machines = Machines(config, core)
-    listener = await peers.listen(config, core)
+    listener = await _listening(peers.listen(config, core))
     front = Front(config, core, ExecuteNodes(config, core, machines))
     tasks = [_background(machines.watch())]
     if store is not None:
         tasks.append(_background(store.run()))
     second = await _second_front(entry.grpc, core) if entry is not None and entry.grpc else None
-    await front.start()
+    await _listening(front.start())
     gc.collect()
-    gc.freeze()            # what stays for good need not be looked through again
+    gc.freeze()            # what stays for good need not be looked through again,
+    gc.set_threshold(10000, 20, 20)      # nor the rest so often: a job leaves few cycles behind
     await stop.wait()
     await asyncio.gather(front.stop(), *((second.stop(),) if second is not None else ()))
     for task in tasks:
@@ -63,11 +70,22 @@
 async def _second_front(listen: str, core: Core) -> RateLimitFront:
     """Imported here alone: without it neither gRPC nor its memory is there."""
     from larklb.grpc.front import RateLimitFront
-    front = RateLimitFront(listen, core)
+    try:
+        front = RateLimitFront(listen, core)
+    except RuntimeError as error:
+        raise StartError(error) from error
     await front.start()
     return front
 
 
+async def _listening(listen: Awaitable[T]) -> T:
+    """An address that is taken or not ours is told in one line."""
+    try:
+        return await listen
+    except OSError as error:
+        raise StartError(error) from error
+
+
 async def _store(config: Config, entry: StoreEntry, core: Core) -> BucketStore:
     from larklb.store import BucketStore
     store = BucketStore(entry.url, f"{entry.prefix}:{config.name}", core)
@@ -89,4 +107,8 @@
 def run(config: Config, entry: InstanceEntry | None = None, store: StoreEntry | None = None) -> None:
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format=f"{config.name} %(levelname)s %(message)s")
-    asyncio.run(_run(config, entry, store))
+    try:
+        asyncio.run(_run(config, entry, store))
+    except StartError as error:
+        print(f"larklb: {error}", file=sys.stderr)
+        sys.exit(1)
--- a/larklb/wheel.py
+++ b/larklb/wheel.py
@@ -46,12 +46,18 @@
         if slot is None:
             self.slots[number] = [timer]
             heapq.heappush(self.order, number)
-            self._arm()
+            if self.armed is None or number < self.armed[0]:
+                self._arm()
         else:
             slot.append(timer)
         return timer
 
     def _arm(self) -> None:
+        # Slots of cancelled timers alone go unvisited: most guards are cancelled long before they fall due.
+        while all(timer.act is None for timer in self.slots[self.order[0]]):
+            del self.slots[heapq.heappop(self.order)]
+            if not self.order:
+                return
         first = self.order[0]
         if self.armed is not None:
             if self.armed[0] <= first:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -172,6 +172,21 @@
     assert done.returncode == 2 and done.stderr.startswith(b"larklb: ") and done.stderr.count(b"\n") == 1
 
 
+def test_an_address_that_is_taken_is_one_plain_line(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            twin = Yard(tmp_path / "twin")
+            twin.folder.mkdir()
+            twin.limiters[0].port = yard.limiters[0].port
+            path = twin.limiters[0].config()
+            env = {**os.environ, "EDGE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+            command = [sys.executable, "-m", "larklb", "serve"]
+            done = subprocess.run(command, env=env, capture_output=True, timeout=60)
+            assert done.returncode == 1 and b"address already in use" in done.stderr
+            assert done.stderr.count(b"\n") == 1
+    asyncio.run(go())
+
+
 def test_the_agent_restarts_an_instance_that_dies_and_drains_at_its_end(tmp_path: Path) -> None:
     async def go() -> None:
         yard = Yard(tmp_path, limiters=2, second_front=False)
