--- a/larklb/cli.py
+++ b/larklb/cli.py
@@ -43,7 +43,7 @@
 
 @app.command()
 def agent(operator: OperatorFile) -> None:
-    """Start the instances of an operator's file, watch and restart them; SIGTERM drains them all."""
+    """Start and watch the instances of an operator's file; SIGHUP renews them in turn, SIGTERM drains."""
     from larklb import agent as program
     from larklb.settings import ConfigError, load_operator
     try:
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,81 @@
+"""The core, its wheel and an attempt, without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from larklb import interface as io
+from larklb.core import Core
+from larklb.counters import Counters
+from larklb.net import execute
+from larklb.net.machines import Machine
+from larklb.wheel import Wheel
+from tests.conftest import settings
+
+
+def test_the_wheel_fires_in_order_and_never_early_and_survives_a_failure() -> None:
+    async def go() -> None:
+        wheel = Wheel(4.0)
+        fired: list[tuple[Any, float]] = []
+        began = wheel.now()
+        for delay in (30.0, 10.0, 20.0):
+            wheel.after(delay, lambda d: fired.append((d, wheel.now() - began - d)), delay)
+        wheel.after(10.0, lambda: [][1])
+        wheel.after(1.0, fired.append, ("cancelled", 0.0)).cancel()
+        await wheel.sleep(60.0)
+        assert [f[0] for f in fired] == [10.0, 20.0, 30.0] and min(f[1] for f in fired) > -0.5
+        assert wheel.failures == 1
+    asyncio.run(go())
+
+
+def core_with(handle: Callable[[float, io.Event], list[io.Action]] | None = None) -> Core:
+    core = Core(settings(), 1, Wheel(2.0), Counters("n"))
+    core.start()
+    if handle is not None:
+        setattr(core.gateway, "handle", handle)     # noqa: B010
+    return core
+
+
+def test_a_failure_of_the_module_costs_one_job_its_answer_and_no_other() -> None:
+    def fails(now: float, event: io.Event) -> list[io.Action]:
+        raise RuntimeError("bug")
+
+    async def go() -> None:
+        core = core_with(fails)
+        job = core.take(io.Request("r", "read", "free", "c", core.wheel.now() + 30.0))
+        assert await asyncio.wait_for(job.next(), 5) == io.Fail("r")
+        assert core.counters["errors.module"] >= 1 and core.counters["errors.overdue"] == 1
+    asyncio.run(go())
+
+
+def test_nothing_is_written_to_a_node_that_began_to_drain_during_a_slow_dial(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    class _Link:
+        aborted = False
+
+        def abort(self) -> None:
+            self.aborted = True
+
+        class reader:  # noqa: N801
+            on_end = None
+
+    async def go() -> None:
+        core, link, machine = core_with(), _Link(), Machine(("127.0.0.1", 1))
+
+        async def slow(host: str, port: int) -> Any:
+            machine.closed_at = core.wheel.now() - 1001.0      # told longer ago than the grace
+            return link
+
+        monkeypatch.setattr(execute, "dial", slow)
+        machines: Any = type("M", (), {"of": {"s": machine}, "addresses": lambda self: set()})()
+        config: Any = type("C", (), {"dial_timeout": 250.0, "conn_idle": 30000.0, "sockets": 64,
+                                     "settings": core.settings})()
+        nodes = execute.ExecuteNodes(config, core, machines)
+        job = core.take(io.Request("r", "read", "free", "c", core.wheel.now() + 3000.0))
+        ended = await nodes.attempt(job, io.Send("r", "s"), execute.Content(b"GET", b"/read", (), b""))
+        assert ended.result is io.Result.MOOT and link.aborted and core.counters["held_back.drain"] == 1
+    asyncio.run(go())
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -211,6 +211,14 @@
             while b"n0 ended with -9" not in (line := await agent.stderr.readline()):
                 assert line
             await yard.limiters[0].ready()
+            agent.send_signal(signal.SIGHUP)
+            renewed: list[bytes] = []
+            while len(renewed) < 2:
+                line = await agent.stderr.readline()
+                renewed += [line.split()[2]] if b"drained with 0" in line else []
+                assert line and b"ended with" not in line
+            assert renewed == [b"n0", b"n1"]
+            await yard.limiters[1].ready()
         finally:
             agent.send_signal(signal.SIGTERM)
             _, errors = await asyncio.wait_for(agent.communicate(), 30)
