Read away what follows a 413 or 400, so that the submitter gets its answer

Seen in a probe: a submitter that goes on sending after its body passed 64 KiB got a reset while sending and never read the 413 (front.py, _message closed over unread bytes). Bounded by 3 s and 64 reads.

--- a/larklb/net/front.py
+++ b/larklb/net/front.py
@@ -12,7 +12,7 @@
 from larklb.core import Core, Job
 from larklb.fields import MalformedError, account, quota_info
 from larklb.net.execute import Content, Ended, ExecuteNodes
-from larklb.net.http import Link, TooLongError, WatchedReader
+from larklb.net.http import MOST_BODY, Link, TooLongError, WatchedReader
 from larklb.settings import Config
 
 log = logging.getLogger(__name__)
@@ -23,6 +23,8 @@
 HALF_MESSAGE = 10000.0     # ms for the rest of a message that was begun
 SWEEP = 1000.0
 LINGER = 700.0             # ms after SIGTERM in which what still arrives is taken
+READ_AWAY = 3000.0         # ms in which what arrives after a refusal to read on is thrown away ...
+MOST_READS = 64            # ... in so many reads
 _NEEDED = (b"x-correlation-id", b"x-service-class", b"plan", b"account", b"x-time-left", b"quota-info")
 _PASSED = (b"x-correlation-id", b"idempotency-key", b"x-service-class", b"content-type")
 
@@ -174,8 +176,19 @@
         link.busy = True
         self._write(link, answer)
         await link.writer.drain()
+        if answer.status // 100 == 4 and answer.close:
+            await self._read_away(link)
         return not (answer.close or self.stopping) and link.again()
 
+    async def _read_away(self, link: Link) -> None:
+        """What is still on its way is read away: a close over unread bytes would lose the answer."""
+        timer = self.wheel.after(READ_AWAY, link.abort)
+        link.writer.write_eof()
+        for _ in range(MOST_READS):
+            if not await link.reader.read(MOST_BODY):
+                break
+        timer.cancel()
+
     def _write(self, link: Link, answer: Answer) -> None:
         headers = [(b"Content-Type", answer.kind), (b"Content-Length", b"%d" % len(answer.body))]
         if answer.retry_after > 0:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -6,8 +6,10 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
@@ -40,6 +42,23 @@
     asyncio.run(go())
 
 
+def test_a_submitter_that_is_still_sending_gets_its_413(tmp_path: Path) -> None:
+    """Closed over unread bytes the connection was reset, and the answer lost before it was read."""
+    def send_all_then_read(port: int) -> bytes:
+        with socket.create_connection(("127.0.0.1", port), timeout=10) as s:
+            text = job(service="place-order", body=b"x" * 200000).encode()
+            for start in range(0, len(text), 50000):
+                s.sendall(text[start:start + 50000])
+                time.sleep(0.05)
+            return s.recv(65536)
+
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            answer = await asyncio.to_thread(send_all_then_read, yard.limiters[0].port)
+            assert answer.startswith(b"HTTP/1.1 413 ")
+    asyncio.run(go())
+
+
 def test_beyond_the_quota_is_429_with_the_time_to_come_back(tmp_path: Path) -> None:
     async def go() -> None:
         async with Yard(tmp_path) as yard:
