SIGHUP reads the configuration anew and moves the watch at once

Now: the file is read and checked anew (EDGE_DISCOVERY, told at the start, no longer counts), one that cannot be used changes nothing and is counted, and the watch is cancelled and begun at the new address. Generation: machines.py never let it go back, so a discovery that numbers its lists from the start would have been asked from a version it has not come to. A move asks from 0, and a list's own number now always counts.

--- a/larklb/net/machines.py
+++ b/larklb/net/machines.py
@@ -78,10 +78,19 @@
             # Long gone: attempts that were out there are over.
             if machine.closed_at is not None and now - machine.closed_at > 60000.0:
                 del self.of[name]
-        self.generation = max(self.generation, news.generation)
+        self.generation = news.generation
         self.core.counters.add(f"list.{kind.value}")
         self.core.feed(io.ServerList(kind, news.generation, tuple(entries)))
 
+    def move(self, where: tuple[str, int]) -> bool:
+        """Another discovery is to be watched; False where it is the same one."""
+        if where == self.where:
+            return False
+        self.where = where
+        # It may number its lists anew: asked from the old one's version it could hold changes back.
+        self.generation = 0
+        return True
+
     async def watch(self) -> None:
         """Watches for good; a watch that ends is taken up again at the version it had come to."""
         wait = RETRY_FIRST
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -6,18 +6,21 @@
 import contextlib
 import gc
 import logging
+import os
 import signal
 import sys
 from collections.abc import Awaitable
 from typing import TYPE_CHECKING, TypeVar
 
+import msgspec
+
 from larklb.core import Core
 from larklb.counters import Counters
 from larklb.net import peers
 from larklb.net.execute import ExecuteNodes
 from larklb.net.front import Front
 from larklb.net.machines import Machines
-from larklb.settings import Config, InstanceEntry, StoreEntry
+from larklb.settings import Config, ConfigError, InstanceEntry, StoreEntry, load
 from larklb.wheel import Wheel
 
 if TYPE_CHECKING:
@@ -47,6 +50,15 @@
     listener = await _listening(peers.listen(config, core))
     front = Front(config, core, ExecuteNodes(config, core, machines))
     tasks = [_background(machines.watch())]
+
+    def reload() -> None:
+        """SIGHUP: the machine list is watched at once where the new file says."""
+        renewed = _renewed(config, counters)
+        if renewed is not None and machines.move(renewed.discovery):
+            tasks.pop(0).cancel()
+            tasks.insert(0, _background(machines.watch()))
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
     if store is not None:
         tasks.append(_background(store.run()))
     second = await _second_front(entry.grpc, core) if entry is not None and entry.grpc else None
@@ -67,6 +79,23 @@
     print(counters.as_json(), file=sys.stderr, flush=True)
 
 
+def _renewed(config: Config, counters: Counters) -> Config | None:
+    """The configuration read anew; None, and the old one holds, where it cannot be used."""
+    try:
+        # EDGE_DISCOVERY was told at the start: the file is what has been replaced since.
+        renewed = load({name: text for name, text in os.environ.items() if name != "EDGE_DISCOVERY"})
+    except ConfigError as error:
+        counters.add("errors.reload")
+        log.error("the old configuration stays: %s", error)
+        return None
+    counters.add("reloaded")
+    log.info("reloaded: discovery at %s:%d", *renewed.discovery)
+    same = msgspec.structs.replace(renewed, discovery=config.discovery, known=config.known, seed=config.seed)
+    if same != config:
+        log.warning("what else has changed in the configuration takes effect at a restart")
+    return renewed
+
+
 async def _second_front(listen: str, core: Core) -> RateLimitFront:
     """Imported here alone: without it neither gRPC nor its memory is there."""
     from larklb.grpc.front import RateLimitFront
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -109,6 +109,10 @@
             if generation > version:
                 self._chunk(writer, text)
         self.writers.add(writer)
+        with suppress(ConnectionError):
+            await reader.read()
+        self.writers.discard(writer)
+        writer.close()
 
     def _chunk(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         # Cut in the middle: a line need not come in one chunk.
@@ -124,7 +128,6 @@
     def cut(self) -> None:
         for writer in self.writers:
             writer.close()
-        self.writers.clear()
 
 
 class Limiter:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.standins import ROOT, Yard, ask, http, job, read_answer, served
+from tests.standins import ROOT, Discovery, Yard, ask, http, job, read_answer, served
 
 
 def test_a_job_is_served_with_the_bytes_of_the_execute_node(tmp_path: Path) -> None:
@@ -182,6 +182,35 @@
     asyncio.run(go())
 
 
+def test_sighup_moves_the_watch_and_a_bad_file_keeps_the_old_one(tmp_path: Path) -> None:
+    """SIGHUP once ended the program.  Another discovery may number its lists from the start again."""
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            limiter, old, new = yard.limiters[0], yard.discovery, Discovery()
+            assert limiter.process is not None
+            old.tell(9, yard.nodes[1].entry("draining"))
+            await new.start()
+            path = limiter.config()
+            text = path.read_text()
+            for bad in ("{", text.replace('"settings"', '"nothing"')):
+                path.write_text(bad)
+                limiter.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.2)
+            assert (await limiter.counters())["errors.reload"] == 2 and old.asked == [1]
+            yard.discovery = new
+            limiter.config()
+            limiter.process.send_signal(signal.SIGHUP)
+            new.tell(3, yard.nodes[0].entry("draining"), yard.nodes[1].entry())
+            await asyncio.sleep(0.5)
+            assert new.asked == [0] and not old.writers
+            before = yard.nodes[0].seen.total()
+            for _ in range(5):
+                assert (await ask(limiter.port, job()))[0] == 200
+            assert (before, yard.nodes[1].seen.total()) == (yard.nodes[0].seen.total(), 5)
+            assert await limiter.stop() == 0
+    asyncio.run(go())
+
+
 @pytest.mark.parametrize("text", ["", "{", '{"settings":{}}', '{"settings":{"limits":1}}'])
 def test_a_bad_configuration_is_one_plain_line_and_exit_2(tmp_path: Path, text: str) -> None:
     path = tmp_path / "c.json"
