--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -36,7 +36,7 @@
 
 
 def test_late_copies_take_nothing_from_a_customer_within_its_quota() -> None:
-    """Each ask brings a copy that lacks what has filled on its way: an owner that believed it refused 124 of these."""
+    """A copy lacks what has filled on its way: an owner that went by it refused 124 of these."""
     plan = io.Plan("rate", rate=10.0, burst=12.0)
     b = Bed(gateways=2, delay=40.0, plans=(plan,), inbox_per_s=60.0)
     b.serve = 50.0
