Let jobs beyond a quota go on where the plan earns by it and nodes are idle

The settings say so in beyond_earns and excess_cost, which nothing read. Now _beyond sends such a job on while less than 0.9 of the nodes' room is out and no job has waited for room within the least aim; it takes no units, never waits, and plans that cost (taller), with a ceiling or a cap on open attempts, and questions are refused as before.

--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -36,6 +36,7 @@
 LEARN = 0.05               # weight of one answer in what is usual for its class
 JUDGE = 0.25               # weight of one answer in the judgement of its server
 WORST = 12.0               # slowness that an error, reset, time-out or refused connection counts as
+IDLE_PART = 0.9            # of the room of all servers: with less out, jobs beyond a quota may go on
 SPOILT = 4.0               # ... and an answer of no use from a server that is there: one makes no suspect
 FORGIVE_MS = 4000.0        # half-life of a judgement with no new answers: a server is then tried again
 TRIAL_PART = 0.25          # of that half-life passes between trials of a suspect, which are one at a time
@@ -179,6 +180,7 @@
         self.news: dict[tuple[int, int], None] = {}               # (server, topic) judged bad, newest last
         self.by_short: dict[int, Server] = {}                     # the same, by the short digest
         self.room = ROOM_START
+        self.pressed = -math.inf                                  # when a job last had to wait for room
         self.busy = 1.0                                           # attempts out at a server, of all gateways
         self.timers: dict[int, Callable[[float], object]] = {}
         self.marks = itertools.count(1)
@@ -327,7 +329,7 @@
         elif h.owner == self.s.number:
             self._own(now, h)
         elif (wait := self._copy_empty(now, h)) is not None:
-            self._answer(now, h, wait)
+            self._beyond(now, h, wait)
         elif not self.s.can_tell or not self.breakers[h.owner].allows(now):
             self._fallback(now, h)
         else:
@@ -339,7 +341,7 @@
             h.grant = name
             self._go(now, h)
         else:
-            self._answer(now, h, self._bucket(now, h.key, h.plan_number).wait_for(h.units))
+            self._beyond(now, h, self._bucket(now, h.key, h.plan_number).wait_for(h.units))
 
     def _ask(self, now: float, h: Held) -> None:
         h.asking = number = next(self.numbers) & 0xFFFFFFFF
@@ -403,7 +405,18 @@
         if inside:
             self._go(now, h)
         else:
-            self._answer(now, h, max(0.0, wait))
+            self._beyond(now, h, max(0.0, wait))
+
+    def _beyond(self, now: float, h: Held, wait: float) -> None:
+        """Turned down by the quota: goes on all the same where the plan earns by it and servers are idle."""
+        plan, load = h.plan, sum(s.out() for s in self.up) / self._seen(now)
+        idle = load < len(self.up) * self.room * IDLE_PART and now - self.pressed > self.aim
+        earns = plan.beyond_earns > plan.excess_cost and not plan.ceiling_rate and not plan.most_open
+        server = self._choose(now, h) if idle and earns and not h.question else None
+        if server is None:
+            return self._answer(now, h, wait)
+        h.beyond = h.admitted = True
+        self._send(now, h, server)
 
     def _tell(self, peer: int, item: pw.Item) -> None:
         if self.s.can_tell:
@@ -518,7 +531,7 @@
             h.grant = (sender, v.number)
             self._go(now, h)
         else:
-            self._answer(now, h, max(0.0, h.units - v.left) / h.plan.rate * 1000.0 if h.plan.rate else 0.0)
+            self._beyond(now, h, max(0.0, h.units - v.left) / h.plan.rate * 1000.0 if h.plan.rate else 0.0)
 
     def _list(self, now: float, e: io.ServerList) -> None:
         if e.kind is io.ListKind.LOST:
@@ -625,7 +638,10 @@
         server = self._choose(now, h)
         if server is not None:
             self._send(now, h, server)
+        elif h.beyond:
+            self._answer(now, h, self.s.max_retry_after)
         elif h not in self.waiting:
+            self.pressed = now
             self.waiting.append(h)
             last = h.due if h.cls.late_worth else h.came + h.cls.aim
             self._after(last - SLACK * self.usual[h.cls.name] - now, self._pump)
--- a/larklb/records.py
+++ b/larklb/records.py
@@ -37,6 +37,7 @@
     grant: tuple[int, int] | None = None   # (owner, number of the ask) that its lease stands under
     asking: int | None = None              # number of the ask that it waits for
     admitted: bool = False
+    beyond: bool = False                   # ... though its quota turned it down
     ended: bool = False
     attempts: list[Attempt] = field(default_factory=list)
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -35,6 +35,26 @@
     assert len(b.of(io.Send)) == 3 and len(b.of(io.Refuse)) == 3
 
 
+def test_beyond_the_quota_goes_on_only_where_it_earns_and_room_is_idle() -> None:
+    """Idle servers earned nothing while jobs whose plan pays beyond its quota were turned away."""
+    plans = tuple(io.Plan(name, rate=1.0, burst=3.0, beyond_earns=earns, excess_cost=costs)
+                  for name, earns, costs in (("pays", 0.3, 0.0), ("costs", 0.3, 0.5)))
+    for gateways in (1, 2):
+        b = Bed(gateways=gateways, plans=plans)
+        for i in range(5):
+            b.ask(0, f"p{i}", plan="pays", customer="p")
+            b.ask(0, f"c{i}", plan="costs", customer="c")
+        b.ask(0, "q", plan="pays", customer="p", question=True)
+        b.run(400)
+        sent = {a.request for a in b.of(io.Send)}
+        assert sent == {"p0", "p1", "p2", "p3", "p4", "c0", "c1", "c2"}
+        assert [a.over_quota for a in b.of(io.Refuse)] == [True] * 3
+    b = Bed(plans=plans)
+    for i in range(60):
+        b.ask(0, f"r{i}", plan="pays", customer="p")
+    assert 3 < len(b.of(io.Send)) < 15 and len(b.of(io.Refuse)) == 60 - len(b.of(io.Send))
+
+
 def test_late_copies_take_nothing_from_a_customer_within_its_quota() -> None:
     """A copy lacks what has filled on its way: an owner that went by it refused 124 of these."""
     plan = io.Plan("rate", rate=10.0, burst=12.0)
