Take up a watch anew when it has been silent for 2.8 s

Checked: replayed with all that discovery sends logged: each limiter got its first answer and not one byte more, not even the empty line that is due every 2 s, on a watch that stayed open. Ruled out: lists that were hidden by their generation, lines cut apart, a fall of the connection (none of these came). Fault: machines.py _lines waited for the next byte without limit. Now a watch that says nothing for 2.8 s is ended and begun at its version, well within the 6 s after which all counts as told.

--- a/larklb/net/machines.py
+++ b/larklb/net/machines.py
@@ -20,6 +20,7 @@
 _STATES = {"up": io.State.UP, "draining": io.State.DRAINING, "removed": io.State.GONE}
 RETRY_FIRST, RETRY_MOST = 50.0, 1000.0     # ms between tries to watch
 MOST_LINE = 4 * 1024 * 1024                # of a list; a longer one is not a list
+SILENCE = 2800.0                           # ms without a byte from a watch, which owes a line every 2 s
 DIAL = 2000.0                              # ms for a connection to discovery
 
 
@@ -117,7 +118,12 @@
         while True:
             event = link.http.next_event()
             if event is h11.NEED_DATA:
-                link.http.receive_data(await link.reader.read(65536))
+                # An empty line comes every 2 s: a watch that says less has ended, though nothing says so.
+                timer = self.wheel.after(SILENCE, link.abort)
+                try:
+                    link.http.receive_data(await link.reader.read(65536))
+                finally:
+                    timer.cancel()
             elif isinstance(event, h11.Response) and event.status_code != 200:
                 raise OSError(f"discovery answers {event.status_code}")
             elif isinstance(event, h11.Data):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -97,6 +97,7 @@
     def __init__(self) -> None:
         self.port = free_port()
         self.lines: list[tuple[int, bytes]] = []
+        self.deaf = False            # open watches hear nothing more
         self.asked: list[int] = []
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
@@ -126,7 +127,7 @@
     def tell(self, generation: int, *entries: dict[str, Any]) -> None:
         text = json.dumps({"generation": generation, "reset": False, "instances": entries}).encode() + b"\n"
         self.lines.append((generation, text))
-        for writer in self.writers:
+        for writer in () if self.deaf else self.writers:
             self._chunk(writer, text)
 
     def cut(self) -> None:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -273,6 +273,23 @@
     asyncio.run(go())
 
 
+def test_a_watch_that_falls_silent_is_taken_up_again(tmp_path: Path) -> None:
+    """It stayed open and told nothing more: drains were heard of never."""
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            yard.discovery.deaf = True
+            yard.discovery.tell(4, yard.nodes[0].entry("draining"))
+            for _ in range(100):
+                await asyncio.sleep(0.1)
+                if len(yard.discovery.asked) > 1 and (await yard.limiters[0].counters()).get("list.changes"):
+                    break
+            assert yard.discovery.asked[:2] == [1, 1]
+            for _ in range(5):
+                assert (await ask(yard.limiters[0].port, job()))[0] == 200
+            assert yard.nodes[0].seen.total() == 0
+    asyncio.run(go())
+
+
 def test_sighup_moves_the_watch_and_a_bad_file_keeps_the_old_one(tmp_path: Path) -> None:
     """SIGHUP once ended the program.  Another discovery may number its lists from the start again."""
     async def go() -> None:
