Send a word to owners whose breaker is open, so that it does not outlast a cut by 30 s

Probe: 67 asks went unheard, yet slices decided 4,093 times. Cause: decide.py _request sends nothing while a breaker is open, on both sides, so that "any word closes it" could not come true before the trial after 30 s. Now a limiter that falls back sends that owner its attempts out, once in 0.3 of the least aim, and who gets only such a word answers likewise. The breaker's 30 s and its trial stay as designed.

--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -23,6 +23,7 @@
 ARC = (1 << 64) // VIRTUAL_NODES                  # of the ring, for one virtual node of each gateway
 BREAKER_FAILURES = 3       # asks failed in a row that open a breaker (design)
 BREAKER_OPEN_MS = 30000.0  # how long it stays open (design) ...
+KNOCK_AIM = 0.3            # parts of the least aim between words to an owner whose breaker is open
 BREAKER_JITTER = 0.2       # ... and up to this much longer, so that trials do not come together (design)
 COPY_FRESH_MS = 1000.0     # a late copy older than this no longer stands in for the owner (design)
 NEW_MS = 1000.0            # an owner's bucket is put right by the copies of those who ask for so long
@@ -331,6 +332,7 @@
         elif (wait := self._copy_empty(now, h)) is not None:
             self._beyond(now, h, wait)
         elif not self.s.can_tell or not self.breakers[h.owner].allows(now):
+            self._knock(now, h.owner)
             self._fallback(now, h)
         else:
             self._ask(now, h)
@@ -424,6 +426,13 @@
             self.outbox.setdefault(peer, []).append((item, copies))
             self.dirty.setdefault(peer, -math.inf)
 
+    def _knock(self, now: float, peer: int) -> None:
+        """A word to a peer not heard of: any closes a breaker, which else outlasts a cut by its 30 s."""
+        if now - self.load_at.get(peer, -math.inf) >= self.aim * KNOCK_AIM:
+            self.load_at[peer] = now
+            out = tuple((s.short, len(s.attempts)) for s in self.up if s.attempts)
+            self._tell(peer, pw.Loads(out[:pw.most_loads(pw.MOST_BYTES - 1)]))
+
     def _flush(self, now: float, peer: int) -> None:
         """At once when idle, else paced so that all senders together fit the receiver's inbox."""
         self.dirty[peer] = free = self.free_at.get(peer, now)
@@ -491,6 +500,8 @@
         out = self.heard.pop(e.sender, (now, ()))[1]
         self.heard[e.sender] = (now, next((item.out for item in items if isinstance(item, pw.Loads)), out))
         self._count(e.sender, 1)
+        if all(isinstance(item, pw.Loads) for item in items):
+            self._knock(now, e.sender)          # it wants to hear that the way is open
         for item in items:
             match item:
                 case pw.Ask():
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -55,6 +55,27 @@
     assert 3 < len(b.of(io.Send)) < 15 and len(b.of(io.Refuse)) == 60 - len(b.of(io.Send))
 
 
+def test_after_a_cut_the_owner_is_asked_again_at_once() -> None:
+    """Both sides waited out breakers of 30 s, silent, though the link was back."""
+    for both in (True, False):
+        b = Bed(gateways=2)
+        b.cut, b.serve = True, 50.0
+        far = other_than("c", 2)
+        near = next(f"d{i}" for i in range(99) if owner_of(f"d{i}", 2) == far)
+        for i in range(6):
+            b.ask(far, f"r{i}")
+            if both:
+                b.ask(1 - far, f"s{i}", customer=near)
+            b.run(400)
+        b.cut = False
+        b.run(1000)
+        b.ask(far, "knocks")
+        b.run(100)
+        told = len(b.of(io.Tell))
+        b.ask(far, "asks")
+        assert any(isinstance(item, pw.Ask) for a in b.of(io.Tell)[told:] for item in pw.unpack(a.data))
+
+
 def test_late_copies_take_nothing_from_a_customer_within_its_quota() -> None:
     """A copy lacks what has filled on its way: an owner that went by it refused 124 of these."""
     plan = io.Plan("rate", rate=10.0, burst=12.0)
