--- a/larklb/net/http.py
+++ b/larklb/net/http.py
@@ -125,7 +125,7 @@
         if self.more():
             return False
         got = array.array("i", [0])
-        with contextlib.suppress(OSError):
+        with contextlib.suppress(OSError, ValueError):       # ValueError: it has just been closed
             fcntl.ioctl(self.writer.get_extra_info("socket"), termios.FIONREAD, got)
         return not got[0]
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import Any
 
+import h11
 import pytest
 
 from larklb import interface as io
 from larklb.core import Core
 from larklb.counters import Counters
 from larklb.net import execute
+from larklb.net.http import Link, WatchedReader
 from larklb.net.machines import Machine
 from larklb.wheel import Wheel
 from tests.conftest import settings
@@ -46,6 +49,26 @@
     assert low < nodes.fresh == nodes.idle_limit
 
 
+def test_what_waits_in_the_socket_is_no_silence_and_a_closed_socket_no_error() -> None:
+    """A limiter that got no CPU for a while had not read the request; a closed socket has no number."""
+    async def go() -> None:
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        reader, loop = WatchedReader(), asyncio.get_running_loop()
+        transport, protocol = await loop.create_connection(
+            lambda: asyncio.StreamReaderProtocol(reader, loop=loop), sock=ours)
+        link = Link(reader, asyncio.StreamWriter(transport, protocol, reader, loop), h11.SERVER)
+        assert link.silent()
+        theirs.send(b"G")
+        assert not link.silent()
+        link.abort()
+        await asyncio.sleep(0.05)
+        reader._buffer.clear()      # type: ignore[attr-defined]
+        assert link.silent()
+        theirs.close()
+    asyncio.run(go())
+
+
 def core_with(handle: Callable[[float, io.Event], list[io.Action]] | None = None) -> Core:
     core = Core(settings(), 1, Wheel(2.0), Counters("n"))
     core.start()
