--- a/larklb/cli.py
+++ b/larklb/cli/instances.py
@@ -1,23 +1,14 @@
-"""The command line."""
+"""Commands on instances: serve, agent, status, version."""
 
 from __future__ import annotations
 
-import sys
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
 from larklb import __version__
-
-app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
-                  help="A quota-keeping limiter.")
-OperatorFile = Annotated[Path, typer.Argument(help="The operator's file (TOML).")]
-
-
-def _stop(error: Exception) -> typer.Exit:
-    print(f"larklb: {error}", file=sys.stderr)
-    return typer.Exit(2)
+from larklb.cli.common import OperatorFile, app, stop
 
 
 @app.command()
@@ -37,7 +28,7 @@
         more = load_operator(operator) if operator is not None else None
         entry = more.of(config.name) if more is not None else None
     except ConfigError as error:
-        raise _stop(error) from error
+        raise stop(error) from error
     program.run(config, entry, more.store if more is not None else None)
 
 
@@ -49,7 +40,7 @@
     try:
         loaded = load_operator(operator)
     except ConfigError as error:
-        raise _stop(error) from error
+        raise stop(error) from error
     raise typer.Exit(program.run(operator, loaded))
 
 
@@ -72,5 +63,5 @@
                 print(f"{entry.name} does not answer: {error}")
                 silent += 1
     except ConfigError as error:
-        raise _stop(error) from error
+        raise stop(error) from error
     raise typer.Exit(1 if silent else 0)
