Judge each request under one plan version, and serve refused ones from reservations

Plans were fixed by the settings at the start, and nothing could be set aside for a customer. A package without input or output, larklb/quota/, now holds the catalogue of plan versions, the bucket's way through a change, the table of a reservation's states, and the book through which the module asks all of it. The owner's verdict carries plan, version and reservation to a peer whose ask shows by its number's last bit that it reads them; an older program keeps the short verdict. A fallback stamps its own version and draws at most units / spread of a reservation, told to the owner as a cumulative count until it confirms. Ring and bucket leave decide.py.

--- a/larklb/benchlink.py
+++ b/larklb/benchlink.py
@@ -75,8 +75,8 @@
             return ["keep_informed", instance, a.on]
         case io.Log():
             return ["print", instance, a.text]
-        case io.Grant():
-            raise WireError("a grant answers a question, and the wire asks none")
+        case io.Grant() | io.Drawn():
+            raise WireError("a grant or draw: the wire asks no questions and knows no reservations")
 
 
 class Link:
--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import itertools
 import math
 import random
@@ -17,10 +16,11 @@
 
 from larklb import interface as io
 from larklb import peerwire as pw
+from larklb.quota.book import Book
+from larklb.quota.bucket import TokenBucket
+from larklb.quota.ring import digest, members, ring_owner
 from larklb.records import Attempt, Copy, Held, Lease
 
-VIRTUAL_NODES = 128        # per gateway, from the design: evens out the shares of the ring
-ARC = (1 << 64) // VIRTUAL_NODES                  # of the ring, for one virtual node of each gateway
 BREAKER_FAILURES = 3       # asks failed in a row that open a breaker (design)
 BREAKER_OPEN_MS = 30000.0  # how long it stays open (design) ...
 KNOCK_AIM = 0.3            # parts of the least aim between words to an owner whose breaker is open
@@ -60,42 +60,6 @@
 COLD_PART = 0.5            # of what a cold server is sure to stand: others' news of it come at other times
 
 
-def digest(text: str) -> int:
-    """The same 64 bits in every process."""
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
-def ring_owner(key: int, members: Sequence[int]) -> int:
-    """The first member clockwise of the key on one ring of all gateways, each with a node in every arc."""
-    arc, at = divmod(key, ARC)
-    while True:
-        nodes = [(place, g) for g in members if (place := digest(f"{g}:{arc % VIRTUAL_NODES}") % ARC) > at]
-        if nodes:
-            return min(nodes)[1]
-        arc, at = arc + 1, -1
-
-
-@dataclass
-class TokenBucket:
-    """Fills at ``rate`` units a second up to ``burst``; also counts the open grants."""
-
-    rate: float
-    burst: float
-    tokens: float
-    at: float
-    open: int = 0
-    born: float = -math.inf     # when it was made here, full for want of better knowledge
-
-    def fill(self, now: float) -> float:
-        self.tokens = min(self.burst, self.tokens + max(0.0, now - self.at) * self.rate / 1000.0)
-        self.at = now
-        return self.tokens
-
-    def wait_for(self, units: float) -> float:
-        """Milliseconds until it holds the units."""
-        return max(0.0, units - self.tokens) / self.rate * 1000.0 if self.rate > 0 else 0.0
-
-
 @dataclass
 class CircuitBreaker:
     """Of one owner: three failures open it, then one trial decides; any word drops it."""
@@ -156,8 +120,9 @@
 class Gateway:
     """One gateway: ``handle(now, event)`` returns the actions to carry out."""
 
-    def __init__(self, settings: io.Settings, seed: int, now: float) -> None:
+    def __init__(self, settings: io.Settings, seed: int, now: float, book: Book | None = None) -> None:
         self.s = settings
+        self.book = book or Book(settings.plans)
         self.random = random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name: (i, p) for i, p in enumerate(settings.plans)}
@@ -167,6 +132,7 @@
         self.owners: dict[tuple[int, int, int], int] = {}         # of (customer, first, spread), recent ones
         self.buckets: dict[int, tuple[int, TokenBucket]] = {}     # that this gateway owns
         self.slices: dict[int, tuple[int, TokenBucket]] = {}      # for owners that cannot be asked
+        self.parts: dict[int, int] = {}                           # ... how many share a slice's quota
         self.copies: dict[int, Copy] = {}
         self.leases: dict[tuple[int, int], Lease] = {}
         self.breakers: defaultdict[int, CircuitBreaker] = defaultdict(CircuitBreaker)
@@ -229,11 +195,13 @@
     def _clean(self, now: float) -> None:
         """Idle buckets, copies and leases age out; state stays bounded by recent traffic."""
         for table in (self.buckets, self.slices):
-            for key, (_, b) in list(table.items()):
+            for key, (told, b) in list(table.items()):
+                self.book.fit(now, key, told, b, self.parts[key] if table is self.slices else 1)
                 if b.open <= 0 and now - b.at > self.most_due and b.fill(now) >= b.burst:
                     del table[key]
+        self.parts = {key: parts for key, parts in self.parts.items() if key in self.slices}
         for key, copy in list(self.copies.items()):
-            plan = self.s.plans[copy.plan]
+            plan = self.book.judged(now, key, copy.plan).plan
             if now - copy.at > max(self.most_due, plan.burst / plan.rate * 1000.0 if plan.rate else 0.0):
                 del self.copies[key]
         for name, lease in list(self.leases.items()):
@@ -254,35 +222,42 @@
 
     def bucket_rows(self) -> list[tuple[int, str, float, float]]:
         """The owned buckets for a store: customer, plan, tokens and when they were counted."""
-        return [(key, self.s.plans[p].name, b.tokens, b.at) for key, (p, b) in self.buckets.items()]
+        return [(key, self.s.plans[p].name, min(b.tokens, b.burst), b.at)
+                for key, (p, b) in self.buckets.items()]
 
     def restore(self, now: float, rows: Sequence[tuple[int, str, float, float]]) -> int:
         """Buckets from a store, to be called before the first request; of unknown plans none are kept."""
         for key, plan_name, tokens, at in rows:
             if plan_name in self.plans and at <= now:
-                number, plan = self.plans[plan_name]
-                bucket = TokenBucket(plan.rate, plan.burst, min(plan.burst, tokens), at)
-                self.buckets[key] = (number, bucket)
+                number = self.plans[plan_name][0]
+                self.buckets[key] = (number, self.book.restored(key, number, tokens, at))
         return len(self.buckets)
 
     def _bucket(self, now: float, key: int, plan_number: int) -> TokenBucket:
         if key not in self.buckets:
-            plan = self.s.plans[plan_number]
-            self.buckets[key] = (plan_number, TokenBucket(plan.rate, plan.burst, plan.burst, now, 0, now))
-        return self.buckets[key][1]
+            self.buckets[key] = (plan_number, self.book.made(now, key, plan_number))
+        bucket = self.buckets[key][1]
+        self.book.fit(now, key, plan_number, bucket)
+        return bucket
 
     def _decide(self, now: float, name: tuple[int, int], key: int, plan_number: int, units: float,
                 lease: float) -> Lease:
         """The owner's verdict; the same ask gets the same one."""
         if name in self.leases:
             return self.leases[name]
-        plan, bucket = self.s.plans[plan_number], self._bucket(now, key, plan_number)
+        judged, bucket = self.book.judged(now, key, plan_number), self._bucket(now, key, plan_number)
+        plan, drawn = judged.plan, None
         bucket.fill(now)
-        granted = ((not plan.rate or bucket.tokens >= units - 1e-9)
-                   and (not plan.most_open or bucket.open < plan.most_open))
-        bucket.tokens -= units if granted and plan.rate else 0.0
+        room = not plan.most_open or bucket.open < plan.most_open
+        granted = room and (not plan.rate or bucket.tokens >= units - 1e-9)
+        if granted:
+            bucket.tokens -= units if plan.rate else 0.0
+        elif room and (drawn := self.book.draw(now, key, units)) is not None:
+            granted = True
+            self.actions.append(drawn)
         bucket.open += granted
-        self.leases[name] = Lease(key, plan_number, granted, units, now + lease, not granted)
+        self.leases[name] = Lease(key, plan_number, granted, units, now + lease, not granted, judged.number,
+                                  judged.version, drawn.tag if drawn is not None else 0)
         return self.leases[name]
 
     def _lease_over(self, now: float, name: tuple[int, int], back: float) -> None:
@@ -293,7 +268,10 @@
         bucket = self._bucket(now, lease.customer, lease.plan)
         bucket.fill(now)
         bucket.open = max(0, bucket.open - 1)
-        bucket.tokens = min(bucket.burst, bucket.tokens + min(back, lease.units))
+        if not lease.reservation:
+            bucket.give_back(min(back, lease.units))
+        elif (kept := self.book.give_back(lease.reservation, min(back, lease.units))) is not None:
+            self.actions.append(kept)
 
     def _seen(self, now: float) -> float:
         """The part of the gateways, with this one, whose work is known here: those heard of lately."""
@@ -315,14 +293,14 @@
     def _request(self, now: float, e: io.Request) -> None:
         if e.service not in self.classes or e.plan not in self.plans:
             raise ValueError(f"request: service {e.service!r} or plan {e.plan!r} is not in the settings")
-        number, plan = self.plans[e.plan]
-        spread = max(1, min(e.spread, self.s.gateways))
+        told, spread = self.plans[e.plan][0], max(1, min(e.spread, self.s.gateways))
         key = digest(e.customer)
+        number, plan, version = self.book.judged(now, key, told)
         ring = (key, e.first, spread)
         if ring not in self.owners:
-            self.owners[ring] = ring_owner(key, [(e.first + i) % self.s.gateways for i in range(spread)])
+            self.owners[ring] = ring_owner(key, members(e.first, spread, self.s.gateways))
         h = Held(e.request, self.classes[e.service], plan, number, key, e.units, e.due, now,
-                 self.owners[ring], spread, e.question)
+                 self.owners[ring], spread, told, version, e.question)
         self.held[e.request] = h
         self._after(e.due - now - 2 * self.s.tick, lambda t: self._next(t, h))
         if not plan.rate and not plan.most_open:
@@ -338,17 +316,20 @@
             self._ask(now, h)
 
     def _own(self, now: float, h: Held) -> None:
-        name = (self.s.number, next(self.numbers) & 0xFFFFFFFF)
-        if self._decide(now, name, h.key, h.plan_number, h.units, h.due - now).granted:
-            h.grant = name
+        name = (self.s.number, next(self.numbers) & pw.NUMBERS)
+        lease = self._decide(now, name, h.key, h.told, h.units, h.due - now)
+        if lease.granted:
+            h.grant, h.reservation = name, lease.reservation
             self._go(now, h)
         else:
-            self._beyond(now, h, self._bucket(now, h.key, h.plan_number).wait_for(h.units))
+            self._beyond(now, h, self._bucket(now, h.key, h.told).wait_for(h.units))
 
     def _ask(self, now: float, h: Held) -> None:
-        h.asking = number = next(self.numbers) & 0xFFFFFFFF
+        h.asking = number = next(self.numbers) & pw.NUMBERS | (pw.SPEAKS if self.book.extended else 0)
         self.asks[number] = h
-        ask = pw.Ask(number, h.key, h.plan_number, h.units, h.due - now, self._left(now, h))
+        ask = pw.Ask(number, h.key, h.told, h.units, h.due - now, self._left(now, h))
+        for owed in self.book.owed(h.key) if self.book.speaks(now, h.owner) else ():
+            self._tell(h.owner, owed)
         self._tell(h.owner, ask)
         most = min(h.cls.aim * GIVE_UP_AIM, (h.due - now) / 3) / ASKS
         again = min(max(h.cls.aim * RESEND_AIM, 2 * self._gap(now)), most)
@@ -376,7 +357,8 @@
     def _copy_empty(self, now: float, h: Held) -> float | None:
         """Time to wait where a fresh copy shows that the owner would refuse, or it did again and again."""
         # Refused again: held for as long as asks from all its gateways, one each, fill the owner's inbox.
-        if (copy := self.copies.get(h.key)) is None:
+        copy = self.copies.get(h.key)
+        if copy is None or max(copy.reserved, self.book.reserved(now, h.key)) >= h.units:
             return None
         left, age = self._left(now, h), now - copy.at
         hold = h.spread * 1000.0 / max(1.0, self.s.inbox_per_s * INBOX_SHARE)
@@ -397,13 +379,20 @@
             wait = (h.units - left) / h.plan.rate * 1000.0 if left is not None else 0.0
         else:
             rate, part = h.plan.rate / h.spread, h.plan.burst / h.spread
-            _, b = self.slices.setdefault(h.key, (h.plan_number, TokenBucket(rate, part, part, now)))
+            if h.key not in self.slices:
+                self.slices[h.key] = (h.told, self.book.made(now, h.key, h.told, h.spread))
+                self.parts[h.key] = h.spread
+            b = self.slices[h.key][1]
+            self.book.fit(now, h.key, h.told, b, self.parts[h.key])
             b.fill(now)
             mine = sum(o.key == h.key and o.out() for o in self.held.values())
             inside = ((not rate or b.tokens >= min(h.units, part))
                       and (not h.plan.most_open or mine < math.ceil(h.plan.most_open / h.spread)))
             b.tokens -= h.units if inside and rate else 0.0
             wait = b.wait_for(h.units)
+        if not inside and (drawn := self.book.draw_apart(now, h.key, h.units, self.s.number)) is not None:
+            inside, h.reservation = True, drawn.tag
+            self.actions.append(drawn)
         if inside:
             self._go(now, h)
         else:
@@ -510,6 +499,12 @@
                     self._verdict(now, e.sender, item)
                 case pw.Release():
                     self._lease_over(now, (e.sender, item.number), item.back)
+                case pw.Drawn():
+                    if (kept := self.book.drawn_apart(e.sender, item)) is not None:
+                        self.actions.append(kept)
+                    self._tell(e.sender, pw.Told(item.tag, item.units))
+                case pw.Told():
+                    self.book.confirmed(item)
                 case pw.News() if item.server in self.by_short:
                     self._mark(self.by_short[item.server], item.topic, item.slow, now - item.age)
 
@@ -521,7 +516,12 @@
         if ask.left is not None and now - bucket.born < NEW_MS and (sender, ask.number) not in self.leases:
             bucket.tokens = min(bucket.fill(now), ask.left)
         lease = self._decide(now, (sender, ask.number), ask.customer, ask.plan, ask.units, ask.lease)
-        self._tell(sender, pw.Verdict(ask.number, lease.granted, bucket.fill(now), bucket.open))
+        verdict = pw.Verdict(ask.number, lease.granted, bucket.fill(now), bucket.open)
+        if self.book.extended and ask.number & pw.SPEAKS:
+            verdict = verdict._replace(plan=lease.judged, version=lease.version,
+                                       reservation=lease.reservation,
+                                       reserved=self.book.reserved(now, ask.customer))
+        self._tell(sender, verdict)
 
     def _verdict(self, now: float, sender: int, v: pw.Verdict) -> None:
         if v.number not in self.asks or self.asks[v.number].owner != sender:
@@ -529,7 +529,7 @@
         h = self.asks.pop(v.number)
         known = self.copies.get(h.key)
         refused = 0 if v.granted else 1 + (known.refused if known else 0)
-        self.copies[h.key] = Copy(h.plan_number, v.left, v.open, now, refused)
+        self.copies[h.key] = Copy(h.told, v.left, v.open, now, refused, reserved=v.reserved)
         if h.asking != v.number or h.ended:        # too late to be used, but it still mended the copy
             if v.granted and (h.ended or not h.admitted):
                 if h.unused() or h.plan.most_open:      # what the fallback let in keeps its units taken
@@ -538,6 +538,11 @@
                 h.grant = (sender, v.number)
             return
         h.asking = None
+        h.version, h.reservation = v.version, v.reservation      # who says none judges by the settings
+        if v.plan is not None and v.plan < len(self.s.plans):
+            h.plan_number, h.plan = v.plan, self.book.plan(now, v.plan)
+            if word := self.book.heard(now, sender, v.version):
+                self.actions.append(io.Log(word))
         if v.granted:
             h.grant = (sender, v.number)
             self._go(now, h)
@@ -644,7 +649,7 @@
         """Admitted, or in need of another attempt."""
         h.admitted = True
         if h.question:
-            self.actions.append(io.Grant(h.request))
+            self.actions.append(io.Grant(h.request, h.stamp()))
             return self._over(now, h)
         server = self._choose(now, h)
         if server is not None:
@@ -685,7 +690,7 @@
         self.busy += LEARN * (sum(s.out() for s in self.up) / self._seen(now) / len(self.up) - self.busy)
         patient = self.s.can_cancel or self.s.can_copy or h.cls.repeat is io.Repeat.NEVER
         wait = 0.0 if patient else max(h.cls.aim * 2 * PATIENCE_AIM, 2 * self.usual[h.cls.name])
-        self.actions.append(io.Send(h.request, server.entry.server, wait))
+        self.actions.append(io.Send(h.request, server.entry.server, wait, h.stamp()))
         if h.cls.repeat is not io.Repeat.NEVER:
             self._after(h.cls.aim * PATIENCE_AIM, lambda t: self._review(t, h, index))
 
--- a/larklb/interface.py
+++ b/larklb/interface.py
@@ -10,6 +10,7 @@
 import math
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 # The most that a peer message can say: settings beyond are refused, since cut figures would mislead peers.
 MOST_DEADLINE = 655350.0
@@ -253,6 +254,15 @@
 # Actions ------------------------------------------------------------------------------
 
 
+class Stamp(NamedTuple):
+    """What a request was judged under: plan, version, and the reservation that it draws on (0: none)."""
+
+    plan: str
+    version: int = 0
+    reservation: int = 0
+    beyond: bool = False        # its quota turned it down, and it goes on all the same
+
+
 @dataclass(frozen=True)
 class Send:
     """Start an attempt; ``timeout`` 0 waits as long as the client does."""
@@ -260,6 +270,7 @@
     request: str
     server: str
     timeout: float = 0.0
+    stamp: Stamp | None = None
 
 
 @dataclass(frozen=True)
@@ -267,6 +278,18 @@
     """Final answer to a question: its units are taken."""
 
     request: str
+    stamp: Stamp | None = None
+
+
+@dataclass(frozen=True)
+class Drawn:
+    """To be kept before what follows leaves: units drawn in all on a reservation, by its owner's verdicts or,
+    with ``apart``, by limiter ``by`` (-1: this one) without asking."""
+
+    tag: int
+    units: float
+    apart: bool = False
+    by: int = -1
 
 
 @dataclass(frozen=True)
@@ -318,4 +341,4 @@
     text: str
 
 
-Action = Send | Grant | Refuse | Fail | Cancel | Probe | Tell | SetTimer | Subscribe | Log
+Action = Drawn | Send | Grant | Refuse | Fail | Cancel | Probe | Tell | SetTimer | Subscribe | Log
--- a/larklb/peerwire.py
+++ b/larklb/peerwire.py
@@ -11,6 +11,9 @@
 
 VERSION = 0xB1
 MOST_BYTES = 256
+# An ask's number has 31 bits; the last one tells that its sender reads the longer verdict.  Programs that
+# know nothing of it count up from below it and send such a number back as it came.
+NUMBERS, SPEAKS = 0x7FFFFFFF, 0x80000000
 _SIXTEENTHS = 16.0
 _LEASE_STEP = 10.0
 _NONE = 32767
@@ -30,12 +33,20 @@
 
 
 class Verdict(NamedTuple):
-    """The owner's answer with the tokens left and the attempts open."""
+    """The owner's answer with the tokens left and the attempts open.
+
+    To a peer that reads it also what the request was judged under: plan, version and the reservation that it
+    draws on, and the units that may still be drawn.
+    """
 
     number: int
     granted: bool
     left: float
     open: int
+    plan: int | None = None
+    version: int = 0
+    reservation: int = 0
+    reserved: float = 0.0
 
 
 class Release(NamedTuple):
@@ -60,13 +71,30 @@
     age: float
 
 
-Item = Ask | Verdict | Release | Loads | News
+class Drawn(NamedTuple):
+    """Units that the sender drew on a reservation in all, without asking its owner."""
+
+    tag: int
+    units: float
+
+
+class Told(NamedTuple):
+    """The owner has kept that count."""
+
+    tag: int
+    units: float
+
+
+Item = Ask | Verdict | Release | Loads | News | Drawn | Told
 
 _FORMATS: dict[int, struct.Struct] = {
     1: struct.Struct("!IQBHHh"), 2: struct.Struct("!IBhH"), 3: struct.Struct("!Ih"),
     8: struct.Struct("!B"),
     4: struct.Struct("!HBBB"),
+    # A program older than these drops a message that holds one: they go to peers that have shown SPEAKS.
+    5: struct.Struct("!IBhHBHIH"), 7: struct.Struct("!IQ"), 9: struct.Struct("!IQ"),
 }
+_COUNT_STEPS = 1e6             # counts are cumulative and must come back as they were: millionths
 
 
 def _units(value: float) -> int:
@@ -84,6 +112,11 @@
         units = min(65535, math.ceil(item.units * _SIXTEENTHS))
         tag, values = 1, (item.number, item.customer, item.plan, units, _lease(item.lease),
                           _NONE if item.left is None else _units(item.left))
+    elif isinstance(item, Verdict) and item.plan is not None:
+        tag, values = 5, (item.number, int(item.granted), _units(item.left), min(65535, item.open), item.plan,
+                          item.version, item.reservation, max(0, min(65535, math.floor(item.reserved))))
+    elif isinstance(item, Drawn | Told):
+        tag, values = 7 if isinstance(item, Drawn) else 9, (item.tag, round(item.units * _COUNT_STEPS))
     elif isinstance(item, Verdict):
         tag, values = 2, (item.number, int(item.granted), _units(item.left), min(65535, item.open))
     elif isinstance(item, Release):
@@ -122,6 +155,12 @@
                 items.append(Release(v[0], v[1] / _SIXTEENTHS))
             case 4:
                 items.append(News(v[0], v[1], v[2] / _SIXTEENTHS, v[3] * _AGE_STEP))
+            case 5:
+                items.append(Verdict(v[0], bool(v[1]), v[2] / _SIXTEENTHS, v[3], v[4], v[5], v[6], v[7]))
+            case 7:
+                items.append(Drawn(v[0], v[1] / _COUNT_STEPS))
+            case 9:
+                items.append(Told(v[0], v[1] / _COUNT_STEPS))
             case _:
                 end = at + 1 + form.size + v[0] * _LOAD.size
                 if end > len(data):
--- a/larklb/records.py
+++ b/larklb/records.py
@@ -33,7 +33,10 @@
     came: float
     owner: int
     spread: int
+    told: int                              # number of the plan that the request names
+    version: int                           # of the plans, that it is judged under
     question: bool = False                 # wants the quota's word, no server
+    reservation: int = 0                   # that it draws on
     grant: tuple[int, int] | None = None   # (owner, number of the ask) that its lease stands under
     asking: int | None = None              # number of the ask that it waits for
     admitted: bool = False
@@ -48,6 +51,9 @@
         """Units that no attempt and no answered question has used."""
         return 0.0 if self.attempts or self.question and self.admitted else self.units
 
+    def stamp(self) -> io.Stamp:
+        return io.Stamp(self.plan.name, self.version, self.reservation, self.beyond)
+
     def ran(self) -> list[Attempt]:
         return [a for a in self.attempts if a.may_have_run]
 
@@ -62,6 +68,9 @@
     units: float
     until: float
     over: bool = False
+    judged: int = 0                        # number of the plan that was judged under, ...
+    version: int = 0                       # ... and of the version
+    reservation: int = 0                   # that the units come from
 
 
 @dataclass
@@ -74,3 +83,4 @@
     at: float
     refused: int = 0                       # verdicts in a row that refused
     let_in: float = 0.0
+    reserved: float = 0.0                  # units that could be drawn beyond the tokens
--- a/tests/test_grpc.py
+++ b/tests/test_grpc.py
@@ -12,10 +12,10 @@
 import pytest
 
 from larklb import interface as io
-from larklb.decide import digest, ring_owner
 from larklb.grpc.front import SERVICE
 from larklb.grpc.ratelimit_pb2 import RateLimitDescriptor
 from larklb.grpc.rls_pb2 import RateLimitRequest, RateLimitResponse
+from larklb.quota.ring import digest, ring_owner
 from tests.conftest import Bed
 from tests.standins import Limiter, RespServer, Yard, ask, job
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -9,7 +9,7 @@
 import pytest
 
 from larklb import interface as io
-from larklb.decide import digest, ring_owner
+from larklb.quota.ring import digest, ring_owner
 from tests.conftest import Bed
 
 MANY = 400
