Count use in a log that survives a kill, and export it once and only once

Use was a counter that died with the process. larklb/state/ has an append-only log of CRC32C records (torn ends cut, damage in the middle refused with its byte, a rewrite that takes appends meanwhile) and a folder held by one process. larklb/export/ has the tally of what the records add up to, without input or output, the ledger that writes each count before its first byte in one write per turn of the loop, and the exporter of CloudEvents batches over HTTP or into a folder. A try in flight at a kill counts, because its count stands before its bytes, and is listed. Commands plans, reserve and usage reach running instances over a Unix socket of mode 0600, named in the operator's file; the platform has none of it.

--- a/larklb/cli/common.py
+++ b/larklb/cli/common.py
@@ -1,21 +1,87 @@
-"""What all commands share: the application, the operator's file as an argument, how a command ends."""
+"""What all commands share: the application, the operator's file as an argument, how a command ends.
+
+Exit statuses: 0 done; 1 something does not answer, or differs; 2 a file or an argument cannot be used,
+nothing was changed; 3 turned down, nothing was changed.
+"""
 
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated, Any
 
 import typer
 
-UNUSABLE = 2               # exit status: a file or an argument cannot be used, nothing was changed
+if TYPE_CHECKING:
+    from larklb.settings import Config, InstanceEntry, Operator
+
+SILENT = 1                 # exit status: an instance does not answer, or what should agree differs
+UNUSABLE = 2               # a file or an argument cannot be used, nothing was changed
+REFUSED = 3                # the instances turned it down, nothing was changed
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False,
                   help="A quota-keeping limiter.")
 OperatorFile = Annotated[Path, typer.Argument(help="The operator's file (TOML).")]
+AsJson = Annotated[bool, typer.Option("--json", help="JSON for programs, not a table for people.")]
+
 
+def group(name: str, words: str) -> typer.Typer:
+    """A group of commands under one name."""
+    commands = typer.Typer(no_args_is_help=True, add_completion=False, help=words)
+    app.add_typer(commands, name=name)
+    return commands
 
-def stop(error: Exception, status: int = UNUSABLE) -> typer.Exit:
+
+def stop(error: Exception | str, status: int = UNUSABLE) -> typer.Exit:
     """One plain line and the exit status, for ``raise``."""
     print(f"larklb: {error}", file=sys.stderr)
     return typer.Exit(status)
+
+
+@contextmanager
+def usable() -> Iterator[None]:
+    """What cannot be used ends the command with one line and status 2."""
+    from larklb.settings import ConfigError
+    try:
+        yield
+    except ConfigError as error:
+        raise stop(error) from error
+
+
+def show(rows: Sequence[dict[str, Any]], columns: Sequence[str], as_json: bool) -> None:
+    """A table, or one JSON line for each row."""
+    if as_json:
+        import msgspec
+        for row in rows:
+            print(msgspec.json.encode(row).decode())
+        return
+    cells = [[str(row.get(c, "")) for c in columns] for row in rows]
+    widths = [max(len(c), *(len(line[i]) for line in cells), 0) for i, c in enumerate(columns)]
+    for line in [list(columns), *cells]:
+        print("  ".join(text.ljust(w) for text, w in zip(line, widths, strict=True)).rstrip())
+
+
+def instance_of(operator: Path, entry: InstanceEntry) -> Config:
+    """The configuration that the operator's file names for an instance."""
+    from larklb.settings import load
+    return load({"EDGE_NAME": entry.name, "EDGE_CONFIG": str(operator.parent / entry.config)})
+
+
+def asked(operator: Path, loaded: Operator, question: Callable[[InstanceEntry], dict[str, Any]],
+          ) -> Iterator[tuple[InstanceEntry, dict[str, Any]]]:
+    """Each instance with its answer to a question, or with ``silent`` or ``error`` and why."""
+    from larklb.admin import AdminError, SilentError, ask
+    from larklb.settings import ConfigError
+    for entry in loaded.instance:
+        if not entry.admin:
+            raise ConfigError(f"{operator}: instance {entry.name} has no admin address")
+        try:
+            q = question(entry)
+            answer = ask(operator.parent / entry.admin, q.pop("do"), **q)
+        except SilentError as error:
+            answer = {"silent": str(error)}
+        except AdminError as error:
+            answer = {"error": str(error)}
+        yield entry, answer
--- a/larklb/cli/instances.py
+++ b/larklb/cli/instances.py
@@ -26,10 +26,11 @@
     try:
         config = load()
         more = load_operator(operator) if operator is not None else None
-        entry = more.of(config.name) if more is not None else None
+        if more is not None:
+            more.of(config.name)
     except ConfigError as error:
         raise stop(error) from error
-    program.run(config, entry, more.store if more is not None else None)
+    program.run(config, more, operator.parent if operator is not None else Path())
 
 
 @app.command()
--- /dev/null
+++ b/larklb/cli/plans.py
@@ -0,0 +1,128 @@
+"""Commands on plans: check, show, diff, apply."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import typer
+
+from larklb.cli.common import (
+    REFUSED,
+    SILENT,
+    AsJson,
+    OperatorFile,
+    asked,
+    group,
+    instance_of,
+    show,
+    stop,
+    usable,
+)
+
+if TYPE_CHECKING:
+    from larklb.quota.catalogue import Catalogue
+
+plans = group("plans", "Plan versions: check, show and compare them, and apply them in service.")
+NewFile = Annotated[Path, typer.Argument(help="A catalogue of plan versions (TOML).")]
+
+
+def _read(file: Path, operator: Path) -> Catalogue:
+    from larklb.desk import read_catalogue
+    from larklb.settings import load_operator
+    entry = load_operator(operator).instance[0]
+    return read_catalogue(file, instance_of(operator, entry).settings.plans)
+
+
+def _file(operator: Path) -> Path:
+    from larklb.settings import ConfigError, load_operator
+    entry = load_operator(operator).plans
+    if entry is None:
+        raise ConfigError(f"{operator}: it names no file of plans")
+    return operator.parent / entry.file
+
+
+@plans.command()
+def check(file: NewFile, operator: OperatorFile) -> None:
+    """Check a catalogue against the plans of the settings; nothing needs to run."""
+    with usable():
+        found = _read(file, operator)
+    print(f"{file}: usable, {len(found.versions) - 1} versions, the newest is {found.newest.number}")
+
+
+@plans.command("show")
+def show_versions(operator: OperatorFile, as_json: AsJson = False, live: Annotated[bool, typer.Option(
+        help="Ask the running instances instead of reading the file.")] = False) -> None:
+    """Show the versions of the operator's file, or by which version each running instance judges."""
+    import time
+
+    from larklb.desk import shown
+    from larklb.settings import load_operator
+    with usable():
+        if live:
+            rows, silent = [], False
+            for entry, answer in asked(operator, load_operator(operator), lambda e: {"do": "plans.show"}):
+                silent |= "silent" in answer or "error" in answer
+                rows.append({"name": entry.name, "counts": answer.get("counts", "-"),
+                             "newest": answer.get("newest", "-"), "heard": answer.get("heard") or "-",
+                             "note": answer.get("silent") or answer.get("error") or ""})
+            show(rows, ("name", "counts", "newest", "heard", "note"), as_json)
+            raise typer.Exit(SILENT if silent or len({r["newest"] for r in rows}) > 1 else 0)
+        found = _read(_file(operator), operator)
+    now = found.at(time.time() * 1000.0)
+    rows = []
+    for i, version in enumerate(found.versions):
+        row = shown(version)
+        row["state"] = "counts" if i == now else "over" if i < now else "to come"
+        rows.append(row)
+    show(rows, ("number", "from", "state", "says", "note"), as_json)
+
+
+@plans.command()
+def diff(file: NewFile, operator: OperatorFile) -> None:
+    """Compare a catalogue with the operator's file; 1 if they differ."""
+    from larklb.quota.catalogue import differences
+    with usable():
+        lines = differences(_read(_file(operator), operator), _read(file, operator))
+    for line in lines:
+        print(line)
+    raise typer.Exit(SILENT if lines else 0)
+
+
+@plans.command()
+def apply(file: NewFile, operator: OperatorFile, as_json: AsJson = False) -> None:
+    """Put a catalogue into service: it is checked by every running instance first, and 3 changes nothing.
+
+    Then it takes the place of the operator's file, so that instances that start later have it too, and each
+    running instance takes it over.  1: some instance is silent and will read it when it starts.
+    """
+    import time
+
+    from larklb.quota.catalogue import CatalogueError, succeed
+    from larklb.settings import load_operator
+    from larklb.state.folder import put_file
+    with usable():
+        loaded, target = load_operator(operator), _file(operator)
+        new = _read(file, operator)
+        if target.exists():
+            try:
+                succeed(_read(target, operator), new, time.time() * 1000.0)
+            except CatalogueError as error:
+                raise stop(f"{file}: {error}", REFUSED) from error
+        text = file.read_text()
+        refused = [f"{entry.name}: {answer['error']}" for entry, answer in asked(
+            operator, loaded, lambda e: {"do": "plans.check", "text": text}) if "error" in answer]
+        if refused:
+            for line in refused:
+                print(f"larklb: {line}", file=sys.stderr)
+            raise stop("nothing was changed", REFUSED)
+        put_file(target, text.encode(), mode=0o644)
+        rows = []
+        for entry, answer in asked(operator, loaded, lambda e: {"do": "plans.apply", "text": text}):
+            why = answer.get("silent") or answer.get("error") or ""
+            rows.append({"name": entry.name, "newest": answer.get("newest", "-"),
+                         "counts": answer.get("counts", "-"),
+                         "note": f"will read it when it starts: {why}" if why else "taken"})
+    show(rows, ("name", "newest", "counts", "note"), as_json)
+    raise typer.Exit(SILENT if any(r["note"] != "taken" for r in rows) else 0)
--- /dev/null
+++ b/larklb/cli/usage.py
@@ -0,0 +1,128 @@
+"""Commands on use: show, export, verify."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
+
+import typer
+
+from larklb.cli.common import REFUSED, SILENT, AsJson, OperatorFile, asked, group, show, stop, usable
+
+if TYPE_CHECKING:
+    from larklb.settings import InstanceEntry, Operator
+
+usage = group("usage", "Use as it was counted, sealed and acknowledged.")
+
+
+def _folder(operator: Path, loaded: Operator, entry: InstanceEntry) -> Path:
+    from larklb.settings import ConfigError
+    if loaded.state is None or loaded.ledger is None:
+        raise ConfigError(f"{operator}: it has no ledger")
+    return operator.parent / loaded.state.folder / entry.name / "use"
+
+
+@usage.command("show")
+def show_use(operator: OperatorFile, as_json: AsJson = False, rows: Annotated[bool, typer.Option(
+        "--rows", help="Also what is counted and not yet sealed, row by row.")] = False,
+        in_doubt: Annotated[bool, typer.Option("--in-doubt", help="Also tries in flight at a kill.")] = False,
+        ) -> None:
+    """What each instance has counted, as its files say: it need not run."""
+    from larklb.desk import usage as told
+    from larklb.export.audit import read
+    from larklb.settings import load_operator
+    from larklb.state.log import LogError
+    with usable():
+        loaded = load_operator(operator)
+        found = []
+        for entry in loaded.instance:
+            try:
+                found.append(told(entry.name, read(_folder(operator, loaded, entry))))
+            except LogError as error:
+                raise stop(error, SILENT) from error
+    if as_json:
+        show(found, (), True)
+        return
+    show([{"name": f["name"], "counted": f["counted"]["units"], "tries": f["counted"]["tries"],
+           "sealed": f["sealed"]["units"], "acknowledged": f["acknowledged"]["units"],
+           "in flight": f["open"], "waiting": f["waiting"], "in doubt": f["in_doubt"]} for f in found],
+         ("name", "counted", "tries", "sealed", "acknowledged", "in flight", "waiting", "in doubt"), False)
+    if rows:
+        print()
+        show([{"name": f["name"], **r} for f in found for r in f["rows"]],
+             ("name", "period", "account", "plan", "version", "class", "reservation", "units", "tries"),
+             False)
+    if in_doubt:
+        print()
+        show([{"name": f["name"], **d} for f in found for d in f["doubts"]],
+             ("name", "job", "account", "units", "incarnation"), False)
+
+
+@usage.command()
+def export(operator: OperatorFile, as_json: AsJson = False) -> None:
+    """Seal what is counted and deliver it now; also for instances that do not run.  1 if some of it waits."""
+    from larklb.settings import load_operator
+    with usable():
+        loaded = load_operator(operator)
+        if loaded.export is None:
+            raise stop(f"{operator}: it names no receiver for use")
+        found: list[dict[str, Any]] = []
+        for entry in loaded.instance:
+            answer: dict[str, Any] = {"silent": "it has no admin address"}
+            if entry.admin:
+                one = type(loaded)(instance=[entry])
+                answer = next(a for _, a in asked(operator, one, lambda e: {"do": "usage.export"}))
+            if "silent" in answer:
+                answer = asyncio.run(_offline(operator, loaded, entry))
+            found.append({"name": entry.name, **answer,
+                          "word": answer.get("error") or answer.get("word", "")})
+    show(found, ("name", "sealed", "waiting", "word"), as_json)
+    raise typer.Exit(SILENT if any(f.get("waiting", 1) for f in found) else 0)
+
+
+async def _offline(operator: Path, loaded: Operator, entry: InstanceEntry) -> dict[str, Any]:
+    """This process takes the instance's place: its folder's lock keeps a second exporter out."""
+    from larklb.counters import Counters
+    from larklb.desk import fault, ledger_of, receiver_of
+    from larklb.export.exporter import DeliveryError, Exporter
+    from larklb.state.log import LogError
+    assert loaded.export is not None and loaded.ledger is not None
+    counters = Counters(entry.name)
+    try:
+        ledger = ledger_of(loaded.ledger, _folder(operator, loaded, entry), entry.name, counters, fault())
+    except LogError as error:
+        return {"error": str(error), "waiting": "?"}
+    word = ""
+    try:
+        sealed = await ledger.seal()
+        await Exporter(ledger, counters, receiver_of(loaded.export, operator.parent)).all()
+    except DeliveryError as error:
+        word = str(error)
+    finally:
+        ledger.close()
+    return {"sealed": sealed, "waiting": len(ledger.tally.batches), "word": word}
+
+
+@usage.command()
+def verify(operator: OperatorFile, as_json: AsJson = False, received: Annotated[Path | None, typer.Option(
+        help="A folder of batches as the receiver keeps them, or as they were exported.")] = None) -> None:
+    """Lay counted, sealed and acknowledged use side by side; 3 and a line for each difference."""
+    from larklb.export.audit import audit
+    from larklb.settings import load_operator
+    from larklb.state.log import LogError
+    with usable():
+        loaded = load_operator(operator)
+        folder = received
+        if folder is None and loaded.export is not None and loaded.export.folder:
+            folder = operator.parent / loaded.export.folder
+        try:
+            found = [audit(_folder(operator, loaded, entry), entry.name, folder) for entry in loaded.instance]
+        except LogError as error:
+            raise stop(error, REFUSED) from error
+    show([f.row() for f in found], ("name", "counted", "uncut", "sealed", "waiting", "acknowledged",
+                                    "received", "differences"), as_json)
+    for f in found:
+        for line in f.differences:
+            print(f"{f.name}: {line}")
+    raise typer.Exit(REFUSED if any(f.differences for f in found) else 0)
--- a/larklb/core.py
+++ b/larklb/core.py
@@ -10,27 +10,34 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from larklb import interface as io
 from larklb.counters import Counters
 from larklb.decide import Gateway
+from larklb.quota.book import Book
 from larklb.wheel import Timer, Wheel
 
+if TYPE_CHECKING:
+    from larklb.export.ledger import Ledger, Ticket
+
 log = logging.getLogger(__name__)
 
 
 class Job:
     """A request that was taken; its task reads what the module decided from here, in order."""
 
-    __slots__ = ("id", "due", "gone", "attempts", "stop", "overdue", "_box", "_reader")
+    __slots__ = ("id", "due", "request", "gone", "attempts", "stop", "overdue", "ticket", "_box", "_reader")
 
-    def __init__(self, name: str, due: float) -> None:
-        self.id = name
-        self.due = due
+    def __init__(self, request: io.Request) -> None:
+        self.id = request.request
+        self.due = request.due
+        self.request = request
         self.gone = False
         self.attempts = 0
         self.stop: Callable[[io.Result], None] | None = None      # ends the attempt that is out, if any
         self.overdue: Timer | None = None
+        self.ticket: Ticket | None = None        # its count in the ledger, from its first send on
         self._box: deque[io.Action] = deque()
         self._reader: asyncio.Future[None] | None = None
 
@@ -49,16 +56,19 @@
 class Core:
     """One Gateway and the jobs it decides on."""
 
-    def __init__(self, settings: io.Settings, seed: int, wheel: Wheel, counters: Counters) -> None:
+    def __init__(self, settings: io.Settings, seed: int, wheel: Wheel, counters: Counters,
+                 book: Book | None = None) -> None:
         self.settings = settings
         self.wheel = wheel
         self.counters = counters
-        self.gateway = Gateway(settings, seed, wheel.now())
+        self.gateway = Gateway(settings, seed, wheel.now(), book)
         self.classes = {c.name: c for c in settings.classes}
         self.plans = {p.name for p in settings.plans}
         self.jobs: dict[str, Job] = {}
         self.tell: Callable[[int, bytes], None] = lambda peer, data: None
         self.probe: Callable[[str], None] = lambda server: None
+        self.keep: Callable[[io.Drawn], None] = lambda drawn: None
+        self.ledger: Ledger | None = None
         self.stopping = False
         self.idle = asyncio.Event()          # set while no job is held
         self.idle.set()
@@ -82,6 +92,8 @@
             match a:
                 case io.SetTimer():
                     self.wheel.after(a.after, self.feed, io.Timer(a.mark))
+                case io.Drawn():
+                    self.keep(a)           # before what tells of it leaves
                 case io.Tell():
                     self.tell(a.peer, a.data)
                 case io.Cancel():
@@ -98,7 +110,7 @@
 
     def take(self, request: io.Request) -> Job:
         """From here on the job is owed one final answer."""
-        job = self.jobs[request.request] = Job(request.request, request.due)
+        job = self.jobs[request.request] = Job(request)
         self.idle.clear()
         # The module answers before the due time or an attempt times out at it.  Should both fail to
         # happen, the job must still end: the guard stands two ticks behind them.
@@ -129,10 +141,23 @@
         self.counters.add(f"outcome.{result.value}")
         self.feed(io.Outcome(job.id, number, server, result, took, complete, spoilt=spoilt, stale=stale))
 
+    async def count(self, job: Job, stamp: io.Stamp | None) -> None:
+        """The job's use stands in the ledger on return: its first byte, or its grant, may go out."""
+        ledger, r = self.ledger, job.request
+        if ledger is None or stamp is None or job.ticket is not None:
+            return
+        key = ledger.key(r.customer, stamp.plan, stamp.version, r.service, stamp.reservation, stamp.beyond)
+        if r.question:
+            await ledger.use(key, r.units)
+        else:
+            job.ticket = await ledger.begin(job.id, key, r.units)
+
     def close(self, job: Job) -> None:
         """The job has had its answer."""
         if job.overdue is not None:
             job.overdue.cancel()
+        if job.ticket is not None and self.ledger is not None:
+            self.ledger.end(job.ticket)
         self.jobs.pop(job.id, None)
         if not self.jobs:
             self.idle.set()
--- /dev/null
+++ b/larklb/desk.py
@@ -0,0 +1,339 @@
+"""What an instance keeps beside its jobs, as an operator's file says: plans, reservations, use, and its own
+administrative address.  The platform has no operator's file, and none of this."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import time
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from larklb import __version__
+from larklb import interface as io
+from larklb.admin import Admin, AdminError
+from larklb.core import Core
+from larklb.counters import Counters
+from larklb.export import exporter as ex
+from larklb.export import tally as t
+from larklb.export.ledger import Ledger
+from larklb.fields import MalformedError, account
+from larklb.quota import catalogue as cat
+from larklb.quota.book import Book
+from larklb.quota.reservations import RefusedError, Reservation, Reservations, Shares, Wanted
+from larklb.quota.ring import digest, members, ring_owner
+from larklb.settings import Config, ConfigError, ExportEntry, InstanceEntry, LedgerEntry, Operator
+from larklb.state.folder import Folder
+from larklb.state.log import LogError, Step
+from larklb.state.reserved import ReservedLog
+
+log = logging.getLogger(__name__)
+
+TIDY_S = 60.0              # between looks for reservations that are long over
+SHOWN = 1000               # rows of use in one answer
+
+
+def fault() -> Step:
+    """For tests: LARKLB_FAULT=step:n ends this process at once, as SIGKILL does, the n-th time at a step."""
+    name, _, number = os.environ.get("LARKLB_FAULT", "").partition(":")
+    if not name:
+        return bool
+    passed: Counter[str] = Counter()
+
+    def step(at: str) -> None:
+        passed[at] += 1
+        if at == name and passed[at] == int(number or 1):
+            os.kill(os.getpid(), signal.SIGKILL)
+    return step
+
+
+def read_catalogue(path: Path, plans: tuple[io.Plan, ...]) -> cat.Catalogue:
+    """From a file; ConfigError with one line that says where it is wrong."""
+    try:
+        return cat.parse(path.read_bytes(), plans, str(path))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from error
+    except cat.CatalogueError as error:
+        raise ConfigError(str(error)) from error
+
+
+def receiver_of(entry: ExportEntry, base: Path) -> ex.Receiver | Path:
+    """Where an operator's file sends use; ConfigError where that makes no sense."""
+    try:
+        return ex.receiver(entry.url, str(base / entry.ca) if entry.ca else "") if entry.url else (
+            base / entry.folder)
+    except (ValueError, OSError) as error:
+        raise ConfigError(f"export: {error}") from error
+
+
+def ledger_of(entry: LedgerEntry, folder: Path, name: str, counters: Counters, step: Step) -> Ledger:
+    """An instance's ledger as the operator's file wants it; LogError where it cannot be had."""
+    return Ledger(folder, name, counters, period_s=entry.period_s, most_mb=entry.most_mb,
+                  rewrite_mb=entry.rewrite_mb, step=step)
+
+
+class Desk:
+    """Of one instance."""
+
+    def __init__(self, config: Config, base: Path, operator: Operator, entry: InstanceEntry,
+                 counters: Counters, now: float) -> None:
+        """``base`` is the folder of the operator's file; ConfigError or LogError where something is
+        unusable."""
+        self.config, self.operator, self.entry, self.counters = config, operator, entry, counters
+        self.offset = time.time() * 1000.0 - now
+        self.step = fault()
+        self.plans_file = base / operator.plans.file if operator.plans is not None else None
+        self.held: Folder | None = None
+        self.ledger: Ledger | None = None
+        self.exporter: ex.Exporter | None = None
+        self.reserved: ReservedLog | None = None
+        self.tasks: list[asyncio.Task[None]] = []
+        self.admin = Admin(base / entry.admin, self.handlers()) if entry.admin else None
+        self.began = time.time()
+        plans = config.settings.plans
+        catalogue = read_catalogue(self.plans_file, plans) if self.plans_file is not None else None
+        reservations = None
+        if operator.state is not None:
+            folder = base / operator.state.folder / config.name
+            if operator.ledger is not None:
+                self.ledger = ledger_of(operator.ledger, folder / "use", config.name, counters, self.step)
+            if operator.reservations is not None:
+                self.held = Folder(folder / "reservations")
+                r = operator.reservations
+                reservations = Reservations(
+                    Shares(r.fleet_share * r.fleet_rate if r.fleet_rate else float("inf"), r.customer_share),
+                    config.settings.gateways, config.settings.number)
+                self.reserved = ReservedLog(folder / "reservations" / "reservations.log", reservations,
+                                            self.wall(), self.step)
+        self.reservations = reservations
+        self.book = Book(plans, catalogue, reservations, self.offset)
+        if self.ledger is not None and operator.export is not None:
+            self.exporter = ex.Exporter(self.ledger, counters, receiver_of(operator.export, base),
+                                        operator.export.most_wait_s, config.seed)
+        self.core: Core | None = None
+
+    def wall(self) -> float:
+        """Unix milliseconds as this process counts them."""
+        return time.time() * 1000.0
+
+    async def start(self, core: Core) -> None:
+        self.core = core
+        core.keep = self.keep
+        if self.admin is not None:
+            await self.admin.start()
+        loop = asyncio.get_running_loop()
+        if self.ledger is not None and self.operator.ledger is not None and self.operator.state is not None:
+            e = self.operator.ledger
+            self.tasks.append(loop.create_task(self.ledger.keep(self.operator.state.sync_ms, e.seal_s)))
+        if self.exporter is not None:
+            self.tasks.append(loop.create_task(self.exporter.run()))
+        if self.reserved is not None:
+            self.tasks.append(loop.create_task(self._tidy(self.reserved)))
+
+    async def _tidy(self, reserved: ReservedLog) -> None:
+        while True:
+            await asyncio.sleep(TIDY_S)
+            try:
+                reserved.tidy(self.wall())
+            except LogError as error:
+                self.counters.add("errors.reserved")
+                log.error("%s", error)
+
+    def keep(self, drawn: io.Drawn) -> None:
+        """A draw is on the disk before the answer that tells of it."""
+        if self.reserved is None:
+            return
+        try:
+            self.reserved.drew(drawn, self.config.settings.number)
+        except LogError as error:
+            # Served all the same: a reservation that a full disk forgets is drawn twice at the worst.
+            self.counters.add("errors.reserved")
+            log.error("a draw is kept in memory alone: %s", error)
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.admin is not None:
+            await self.admin.stop()
+        if self.ledger is not None:
+            self.ledger.close()
+        if self.reserved is not None:
+            self.reserved.close()
+        if self.held is not None:
+            self.held.close()
+
+    def reload(self) -> None:
+        """SIGHUP: the catalogue's file anew; one that cannot be used changes nothing."""
+        if self.plans_file is None:
+            return
+        try:
+            self.take(read_catalogue(self.plans_file, self.config.settings.plans))
+        except (ConfigError, cat.CatalogueError) as error:
+            self.counters.add("errors.plans")
+            log.error("the plans stay at version %d: %s", self.book.catalogue.newest.number, error)
+
+    def take(self, new: cat.Catalogue) -> None:
+        taken = cat.succeed(self.book.catalogue, new, self.wall())
+        assert self.core is not None
+        self.book.take(self.core.wheel.now(), taken)
+        self.counters.add("plans.taken")
+        log.info("plans: version %d is the newest, %d counts now", taken.newest.number, self._counts())
+
+    def _counts(self) -> int:
+        c = self.book.catalogue
+        return c.versions[c.at(self.wall())].number
+
+    # What the administrative address answers ------------------------------------------------
+
+    def handlers(self) -> dict[str, Any]:
+        return {"status": self.status, "plans.show": self.plans_show, "plans.check": self.plans_check,
+                "plans.apply": self.plans_apply, "reserve.add": self.reserve_add,
+                "reserve.list": self.reserve_list, "reserve.cancel": self.reserve_cancel,
+                "usage.show": self.usage_show, "usage.export": self.usage_export}
+
+    async def status(self, q: dict[str, Any]) -> dict[str, Any]:
+        c = self.book.catalogue
+        return {"name": self.config.name, "number": self.config.settings.number, "pid": os.getpid(),
+                "program": __version__, "serving_s": round(time.time() - self.began, 1),
+                "plans": {"counts": self._counts(), "newest": c.newest.number, "heard": self.book.newer},
+                "reservations": len(self.reservations.by_name) if self.reservations is not None else 0,
+                "jobs": len(self.core.jobs) if self.core is not None else 0}
+
+    async def plans_show(self, q: dict[str, Any]) -> dict[str, Any]:
+        c = self.book.catalogue
+        return {"name": self.config.name, "counts": self._counts(), "newest": c.newest.number,
+                "heard": self.book.newer, "versions": [shown(v) for v in c.versions]}
+
+    def _told(self, q: dict[str, Any]) -> cat.Catalogue:
+        if self.plans_file is None:
+            raise AdminError("the operator's file names no plans for this instance")
+        try:
+            return cat.parse(str(q.get("text", "")).encode(), self.config.settings.plans, "plans")
+        except cat.CatalogueError as error:
+            raise AdminError(str(error)) from error
+
+    async def plans_check(self, q: dict[str, Any]) -> dict[str, Any]:
+        new = self._told(q)
+        try:
+            taken = cat.succeed(self.book.catalogue, new, self.wall())
+        except cat.CatalogueError as error:
+            raise AdminError(str(error)) from error
+        return {"name": self.config.name, "changes": cat.differences(self.book.catalogue, taken)}
+
+    async def plans_apply(self, q: dict[str, Any]) -> dict[str, Any]:
+        try:
+            self.take(self._told(q))
+        except cat.CatalogueError as error:
+            raise AdminError(str(error)) from error
+        return await self.plans_show(q)
+
+    def _reservations(self) -> tuple[Reservations, ReservedLog]:
+        if self.reservations is None or self.reserved is None:
+            raise AdminError("the operator's file allows this instance no reservations")
+        return self.reservations, self.reserved
+
+    async def reserve_add(self, q: dict[str, Any]) -> dict[str, Any]:
+        reservations, reserved = self._reservations()
+        try:
+            wanted = msgspec.convert(q.get("wanted"), Wanted)
+            wanted = replace(wanted, customer=account(wanted.customer))
+        except (msgspec.ValidationError, MalformedError) as error:
+            raise AdminError(f"the reservation makes no sense: {error}") from error
+        s = self.config.settings
+        number = next((i for i, p in enumerate(s.plans) if p.name == wanted.plan), None)
+        if number is None:
+            raise AdminError(f"the settings have no plan {wanted.plan!r}")
+        key = digest(wanted.customer)
+        if not (1 <= wanted.spread <= s.gateways and 0 <= wanted.first < s.gateways):
+            raise AdminError("there are no such limiters")
+        owner = ring_owner(key, members(wanted.first, wanted.spread, s.gateways))
+        owned = owner == s.number
+        if not owned and not q.get("copy"):
+            raise AdminError(f"the owner of this customer is limiter {owner}")
+        c = self.book.catalogue
+        index = c.at(wanted.begin)
+        plan = c.versions[index].plans[c.plan_of(key, index, number)]
+        known = wanted.name in reservations.by_name
+        try:
+            r = reservations.add(wanted, owned, self.wall(), plan.rate)
+            if not known:
+                reserved.added(r)
+        except RefusedError as error:
+            raise AdminError(str(error)) from error
+        except LogError as error:
+            del reservations.by_name[wanted.name], reservations.by_tag[r.tag]
+            reservations.by_key[key].remove(r)
+            raise AdminError(f"it could not be kept: {error}") from error
+        return self._shown(r)
+
+    def _shown(self, r: Reservation) -> dict[str, Any]:
+        w = r.wanted
+        return {"id": w.name, "state": r.advance(self.wall()).value, "owner": r.owned, "tag": f"{r.tag:08x}",
+                "limiter": self.config.name, "customer": w.customer, "plan": w.plan, "units": w.units,
+                "left": r.left, "drawn": r.drawn, "apart": sum(r.apart.values()), "begin": cat.when(w.begin),
+                "end": cat.when(w.end), "set": f"spread={w.spread},first={w.first}"}
+
+    async def reserve_list(self, q: dict[str, Any]) -> dict[str, Any]:
+        reservations, _ = self._reservations()
+        return {"reservations": [self._shown(r) for r in reservations.by_name.values()
+                                 if not q.get("id") or q["id"] == r.wanted.name]}
+
+    async def reserve_cancel(self, q: dict[str, Any]) -> dict[str, Any]:
+        reservations, reserved = self._reservations()
+        try:
+            r = reservations.cancel(str(q.get("id")), self.wall())
+            reserved.cancelled(r)
+        except (RefusedError, LogError) as error:
+            raise AdminError(str(error)) from error
+        return self._shown(r)
+
+    def _ledger(self) -> Ledger:
+        if self.ledger is None:
+            raise AdminError("the operator's file gives this instance no ledger")
+        return self.ledger
+
+    async def usage_show(self, q: dict[str, Any]) -> dict[str, Any]:
+        ledger = self._ledger()
+        ledger.write()
+        return usage(self.config.name, ledger.tally, self.exporter.word if self.exporter is not None else "")
+
+    async def usage_export(self, q: dict[str, Any]) -> dict[str, Any]:
+        ledger = self._ledger()
+        if self.exporter is None:
+            raise AdminError("the operator's file names no receiver for use")
+        sealed = await ledger.seal()
+        until = time.monotonic() + float(q.get("within", 15.0))
+        while ledger.tally.batches and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+        return {"name": self.config.name, "sealed": sealed, "waiting": len(ledger.tally.batches),
+                "word": self.exporter.word}
+
+
+def shown(v: cat.Version) -> dict[str, Any]:
+    """A version for a command."""
+    return {"number": v.number, "from": cat.when(v.at), "note": v.note, "says": cat.stated(v),
+            "plans": {p.name: {"rate": p.rate, "burst": p.burst, "most_open": p.most_open} for p in v.plans}}
+
+
+def usage(name: str, tally: t.Tally, word: str = "") -> dict[str, Any]:
+    """The sums of a ledger and its uncut rows, for a command."""
+    def told(s: t.Sum) -> dict[str, Any]:
+        return {"units": t.units_text(s.units), "tries": s.tries}
+
+    rows = [{"period": t.instant(k.period), "account": k.account, "plan": k.plan, "version": k.version,
+             "class": k.service, "reservation": f"{k.reservation:08x}" if k.reservation else "",
+             "beyond": k.beyond, "units": t.units_text(units), "tries": tries}
+            for k, (units, tries) in list(tally.rows.items())[:SHOWN]]
+    return {"name": name, "incarnation": tally.incarnation, "counted": told(tally.counted),
+            "sealed": told(tally.cut), "acknowledged": told(tally.acked), "open": len(tally.begun),
+            "waiting": len(tally.batches), "in_doubt": tally.in_doubt, "word": word,
+            "doubts": [{"job": d.job, "account": d.key.account, "units": t.units_text(d.units),
+                        "incarnation": d.incarnation} for d in tally.doubts],
+            "periods": {t.instant(p): told(s) for p, s in sorted(tally.periods.items())}, "rows": rows}
--- a/larklb/grpc/front.py
+++ b/larklb/grpc/front.py
@@ -97,7 +97,10 @@
         verdicts: list[io.Action] = []
         try:
             for job in jobs:
-                verdicts.append(await job.next())
+                verdict = await job.next()
+                if isinstance(verdict, io.Grant):
+                    await self.core.count(job, verdict.stamp)
+                verdicts.append(verdict)
         except asyncio.CancelledError:
             # The caller has gone: what has no grant yet must not take any units.
             for job in jobs[len(verdicts):]:
--- a/larklb/net/execute.py
+++ b/larklb/net/execute.py
@@ -6,7 +6,7 @@
 import contextlib
 import logging
 from collections import defaultdict
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 import h11
 
@@ -16,6 +16,9 @@
 from larklb.net.machines import Machines
 from larklb.settings import Config
 
+if TYPE_CHECKING:
+    from larklb.export.ledger import Ticket
+
 log = logging.getLogger(__name__)
 
 IDLE_PART = 0.4          # of the nodes' own idle limit: a request must not cross the node's close
@@ -168,6 +171,7 @@
             if link is None:
                 result = io.Result.CONNECT_FAILED if attempt.result is None else io.Result.MOOT
                 return Ended(result, self.wheel.now() - started)
+            await self.core.count(job, send.stamp)
             if attempt.result is not None:           # called off or out of time before a byte was written
                 kept = True
                 self._keep(place, link)
@@ -182,7 +186,7 @@
                 (b"Host", b"service.internal"), *content.headers, (b"X-Time-Left", b"%.3f" % wait)]),
                 content.body)
             self.core.counters.add("sent")
-            ended = await self._answer(link, attempt, started)
+            ended = await self._answer(link, attempt, started, job.ticket)
             if rest is not None and ended.result in (io.Result.OK, io.Result.RESET) and not ended.spoilt:
                 stale = ended.result is io.Result.RESET and ended.took < STALE_WITHIN
                 self._learn_fresh(rest, stale)
@@ -199,11 +203,13 @@
             if link is not None and not kept:
                 self._end(link)
 
-    async def _answer(self, link: Link, attempt: _Attempt, started: float) -> Ended:
+    async def _answer(self, link: Link, attempt: _Attempt, started: float, ticket: Ticket | None) -> Ended:
         unsent, got, rest = True, None, []
         try:
             await link.writer.drain()            # returns once the last byte has left
             unsent = False
+            if ticket is not None:
+                ticket.whole = True
             got = await link.read(begun=lambda: rest.append(
                 self.wheel.after(ANSWER_REST, attempt.spoil, "it does not end")))
         except OSError:
--- a/larklb/net/http.py
+++ b/larklb/net/http.py
@@ -8,12 +8,15 @@
 import fcntl
 import termios
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import h11
 
 from larklb.wheel import Wheel
 
+if TYPE_CHECKING:
+    import ssl
+
 MOST_BODY = 64 * 1024
 MOST_FRAMING = 32 * 1024       # of a message is not its body: its head, 1xx answers ahead of it, chunk sizes
 BUFFER = 32 * 1024             # bytes that wait unread before the other side is told to wait
@@ -174,10 +177,10 @@
     return None if dialling.cancelled() or dialling.exception() is not None else dialling.result()
 
 
-async def dial(host: str, port: int) -> Link:
-    """A client's connection."""
+async def dial(host: str, port: int, tls: ssl.SSLContext | None = None) -> Link:
+    """A client's connection; with ``tls`` its certificate must be the host's."""
     loop = asyncio.get_running_loop()
     reader = WatchedReader()
     transport, protocol = await loop.create_connection(
-        lambda: asyncio.StreamReaderProtocol(reader, loop=loop), host, port)
+        lambda: asyncio.StreamReaderProtocol(reader, loop=loop), host, port, ssl=tls)
     return Link(reader, asyncio.StreamWriter(transport, protocol, reader, loop), h11.CLIENT)
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 from collections.abc import Awaitable
+from pathlib import Path
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
@@ -20,10 +21,11 @@
 from larklb.net.execute import ExecuteNodes
 from larklb.net.front import Front
 from larklb.net.machines import Machines
-from larklb.settings import Config, ConfigError, InstanceEntry, StoreEntry, load
+from larklb.settings import Config, ConfigError, Operator, StoreEntry, load
 from larklb.wheel import Wheel
 
 if TYPE_CHECKING:
+    from larklb.desk import Desk
     from larklb.grpc.front import RateLimitFront
     from larklb.store import BucketStore
 
@@ -35,7 +37,9 @@
     """The instance cannot listen where it should."""
 
 
-async def _run(config: Config, entry: InstanceEntry | None, store_entry: StoreEntry | None) -> None:
+async def _run(config: Config, operator: Operator | None, base: Path) -> None:
+    entry = operator.of(config.name) if operator is not None else None
+    store_entry = operator.store if operator is not None else None
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     counters = Counters(config.name)
@@ -43,7 +47,9 @@
         loop.add_signal_handler(name, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, lambda: print(counters.as_json(), file=sys.stderr, flush=True))
     wheel = Wheel(config.settings.tick)
-    core = Core(config.settings, config.seed, wheel, counters)
+    desk = _desk(config, base, operator, counters, wheel) if operator is not None else None
+    core = Core(config.settings, config.seed, wheel, counters, desk.book if desk is not None else None)
+    core.ledger = desk.ledger if desk is not None else None
     core.start()
     store = await _store(config, store_entry, core) if store_entry is not None else None
     machines = Machines(config, core)
@@ -57,11 +63,15 @@
         if renewed is not None and machines.move(renewed.discovery):
             tasks.pop(0).cancel()
             tasks.insert(0, _background(machines.watch()))
+        if desk is not None:
+            desk.reload()
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     if store is not None:
         tasks.append(_background(store.run()))
     second = await _second_front(entry.grpc, core) if entry is not None and entry.grpc else None
+    if desk is not None:
+        await _listening(desk.start(core))
     await _listening(front.start())
     gc.collect()
     gc.freeze()            # what stays for good need not be looked through again,
@@ -74,6 +84,8 @@
             await task
     if store is not None:
         await store.close()
+    if desk is not None:
+        await desk.stop()
     if listener is not None and listener.transport is not None:
         listener.transport.close()
     print(counters.as_json(), file=sys.stderr, flush=True)
@@ -96,6 +108,16 @@
     return renewed
 
 
+def _desk(config: Config, base: Path, operator: Operator, counters: Counters, wheel: Wheel) -> Desk:
+    """Imported here alone, as the platform has none; what cannot be used is told in one line."""
+    from larklb.desk import Desk
+    from larklb.state.log import LogError
+    try:
+        return Desk(config, base, operator, operator.of(config.name), counters, wheel.now())
+    except LogError as error:
+        raise StartError(error) from error
+
+
 async def _second_front(listen: str, core: Core) -> RateLimitFront:
     """Imported here alone: without it neither gRPC nor its memory is there."""
     from larklb.grpc.front import RateLimitFront
@@ -133,11 +155,12 @@
         log.error("a background task has failed", exc_info=task.exception())
 
 
-def run(config: Config, entry: InstanceEntry | None = None, store: StoreEntry | None = None) -> None:
+def run(config: Config, operator: Operator | None = None, base: Path = Path()) -> None:
+    """Until SIGTERM; ``base`` is the folder of the operator's file."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format=f"{config.name} %(levelname)s %(message)s")
     try:
-        asyncio.run(_run(config, entry, store))
-    except StartError as error:
+        asyncio.run(_run(config, operator, base))
+    except (StartError, ConfigError) as error:
         print(f"larklb: {error}", file=sys.stderr)
-        sys.exit(1)
+        sys.exit(2 if isinstance(error, ConfigError) else 1)
--- a/larklb/settings.py
+++ b/larklb/settings.py
@@ -120,19 +120,85 @@
     prefix: str = "larklb"
 
 
+class PlansEntry(msgspec.Struct, forbid_unknown_fields=True):
+    """Where the catalogue of plan versions is, as a path from the operator's file."""
+
+    file: str
+
+
+class StateEntry(msgspec.Struct, forbid_unknown_fields=True):
+    """Where instances keep what outlives them, each in a folder of its own; ``sync_ms`` between syncs."""
+
+    folder: str
+    sync_ms: float = 500.0
+
+
+class ReservationsEntry(msgspec.Struct, forbid_unknown_fields=True):
+    """What may be reserved: ``fleet_share`` of ``fleet_rate`` units a second (0: no bound) by all customers,
+    and by one ``customer_share`` of its plan's rate."""
+
+    fleet_rate: float = 0.0
+    fleet_share: float = 0.3
+    customer_share: float = 1.0
+
+
+class LedgerEntry(msgspec.Struct, forbid_unknown_fields=True):
+    """Use is told apart by periods, sealed every ``seal_s``; at most ``most_mb`` wait to be acknowledged.
+
+    The log is written anew, shorter, when it has ``rewrite_mb``."""
+
+    period_s: int = 3600
+    seal_s: float = 60.0
+    most_mb: float = 64.0
+    rewrite_mb: float = 8.0
+
+
+class ExportEntry(msgspec.Struct, forbid_unknown_fields=True):
+    """Where use is brought: a receiver's ``url`` (``ca``: certificates to trust) or a ``folder``."""
+
+    url: str = ""
+    ca: str = ""
+    folder: str = ""
+    most_wait_s: float = 60.0
+
+
 class InstanceEntry(msgspec.Struct, forbid_unknown_fields=True):
-    """One instance in an operator's file; ``config`` is a path from that file."""
+    """One instance in an operator's file; ``config`` and ``admin`` (its socket) are paths from that file."""
 
     name: str
     config: str
     grpc: str = ""
+    admin: str = ""
 
 
 class Operator(msgspec.Struct, forbid_unknown_fields=True):
-    """An operator's file: the instances that an agent manages, their second front and their store."""
+    """An operator's file: the instances that an agent manages, and what they have that the platform lacks."""
 
     instance: list[InstanceEntry]
     store: StoreEntry | None = None
+    plans: PlansEntry | None = None
+    state: StateEntry | None = None
+    reservations: ReservationsEntry | None = None
+    ledger: LedgerEntry | None = None
+    export: ExportEntry | None = None
+
+    def checked(self) -> str:
+        """What makes no sense in it, in one line; empty if all does."""
+        r, e, s, x = self.reservations, self.ledger, self.state, self.export
+        if (r is not None or e is not None) and s is None:
+            return "reservations and a ledger need a [state] folder"
+        if r is not None and not (r.fleet_rate >= 0 and 0 <= r.fleet_share <= 1 and r.customer_share >= 0):
+            return "reservations: the shares make no sense"
+        if e is not None and not (1 <= e.period_s <= 31 * 86400 and e.seal_s > 0 and e.most_mb > 0
+                              and e.rewrite_mb > 0):
+            return "ledger: the figures make no sense"
+        if s is not None and not 10 <= s.sync_ms <= 60000:
+            return "state: sync_ms is not between 10 and 60000"
+        if x is not None and (e is None or bool(x.url) == bool(x.folder) or not x.most_wait_s >= 0.1):
+            return "export: it needs a [ledger], either a url or a folder, and a most_wait_s of 0.1 or more"
+        if any((e.admin == "") != (self.instance[0].admin == "") for e in self.instance):
+            return "either all instances have an admin address or none has"
+        return ""
 
     def of(self, name: str) -> InstanceEntry:
         for entry in self.instance:
@@ -154,4 +220,6 @@
     for entry in operator.instance:
         if entry.grpc:
             address(entry.grpc)
+    if why := operator.checked():
+        raise ConfigError(f"{path}: {why}")
     return operator
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,165 @@
+"""The log and the folder: torn ends are cut, damage is refused, one process holds a folder."""
+
+from __future__ import annotations
+
+import errno
+import os
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from larklb.state import log as state_log
+from larklb.state.folder import Folder, HeldError, put_file
+from larklb.state.log import MAGIC, Log, LogError, replay
+from tests.standins import ROOT
+
+RECORDS = [b"a", b"second record", bytes(range(40)), b"\0" * 9, b"last"]
+
+
+def written(path: Path) -> bytes:
+    log = Log(path)
+    log.append(RECORDS[:2])
+    log.append(RECORDS[2:])
+    log.sync()
+    log.close()
+    return path.read_bytes()
+
+
+def test_a_file_cut_at_any_byte_gives_the_records_before_it(tmp_path: Path) -> None:
+    data = written(tmp_path / "log")
+    ends = [len(MAGIC)]
+    for r in RECORDS:
+        ends.append(ends[-1] + 8 + len(r))
+    for cut in range(len(data) + 1):
+        path = tmp_path / "cut"
+        path.write_bytes(data[:cut])
+        whole = sum(end <= cut for end in ends[1:])
+        log = Log(path)
+        assert log.records == RECORDS[:whole] and log.torn == (cut - ends[whole] if cut >= 8 else cut)
+        log.append([b"goes on"])
+        log.close()
+        assert replay(path).records == [*RECORDS[:whole], b"goes on"]
+
+
+def test_any_byte_changed_is_cut_as_a_torn_end_or_refused_and_never_read(tmp_path: Path) -> None:
+    """Only the last record can be taken for torn; whatever is read is what was written."""
+    data = written(tmp_path / "log")
+    last = len(data) - 8 - len(RECORDS[-1])
+    for at in range(len(data)):
+        path = tmp_path / "changed"
+        path.write_bytes(data[:at] + bytes([data[at] ^ 0x41]) + data[at + 1:])
+        if at >= last:
+            assert replay(path).records == RECORDS[:-1]
+        else:
+            with pytest.raises(LogError, match="broken at byte|does not begin"):
+                replay(path)
+
+
+def test_zeros_behind_the_end_are_a_torn_end(tmp_path: Path) -> None:
+    data = written(tmp_path / "log")
+    (tmp_path / "log").write_bytes(data + b"\0" * 4096)
+    assert replay(tmp_path / "log") == (RECORDS, len(data), 4096)
+    (tmp_path / "empty").write_bytes(b"\0" * 100)
+    assert replay(tmp_path / "empty").records == []
+
+
+def test_a_full_disk_is_told_and_leaves_no_half_batch(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    written(tmp_path / "log")
+    log = Log(tmp_path / "log")
+    real, room = os.pwrite, [30]
+
+    def full(fd: int, data: bytes, at: int) -> int:
+        if not room[0]:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        done = real(fd, bytes(data)[:room[0]], at)
+        room[0] -= done
+        return done
+
+    monkeypatch.setattr(os, "pwrite", full)
+    with pytest.raises(LogError, match="no space left"):
+        log.append([b"x" * 20, b"y" * 20])
+    assert replay(tmp_path / "log").records == RECORDS
+    room[0] = 1000
+    log.append([b"there is room again"])
+    assert replay(tmp_path / "log").records == [*RECORDS, b"there is room again"]
+
+
+def test_after_a_failed_sync_nothing_more_is_written(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    log = Log(tmp_path / "log")
+
+    def broken(fd: int) -> None:
+        raise OSError(errno.EIO, "input/output error")
+
+    monkeypatch.setattr(os, "fsync", broken)
+    with pytest.raises(LogError):
+        log.sync()
+    with pytest.raises(LogError, match="could not be brought to the disk"):
+        log.append([b"x"])
+
+
+@pytest.mark.parametrize("dies_at", ["rewrite.written", "rewrite.synced", "rewrite.renamed", ""])
+def test_a_rewrite_ends_as_the_old_log_or_the_new_one_with_what_came_meanwhile(
+        tmp_path: Path, dies_at: str) -> None:
+    class DiedError(Exception):
+        pass
+
+    def step(name: str) -> None:
+        if name == dies_at:
+            raise DiedError
+
+    path = tmp_path / "log"
+    written(path)
+    log = Log(path, step)
+    log.append([b"before"])
+    new = [b"sum of all"]
+    try:
+        log.begin_rewrite(new)
+        log.append([b"meanwhile"])
+        new.append(b"meanwhile")
+        log.sync_rewrite()
+        log.swap()
+        log.append([b"after"])
+        new.append(b"after")
+    except DiedError:
+        pass
+    old = [*RECORDS, b"before", *new[1:]]
+    assert replay(path).records == (old if dies_at in ("rewrite.written", "rewrite.synced") else new)
+
+
+def test_a_folder_is_held_by_one_process_and_freed_by_its_death(tmp_path: Path) -> None:
+    code = ("import sys, pathlib; from larklb.state.folder import Folder; "
+            "f = Folder(pathlib.Path(sys.argv[1])); print('held', flush=True); sys.stdin.read()")
+    other = subprocess.Popen([sys.executable, "-c", code, str(tmp_path)], cwd=ROOT, stdin=subprocess.PIPE,
+                             stdout=subprocess.PIPE)
+    assert other.stdout is not None and other.stdout.readline() == b"held\n"
+    with pytest.raises(HeldError, match=f"in use by process {other.pid}"):
+        Folder(tmp_path)
+    other.kill()
+    other.communicate()
+    Folder(tmp_path).close()
+
+
+def test_a_file_is_there_whole_or_not_at_all(tmp_path: Path) -> None:
+    def dies_at(name: str) -> Callable[[str], None]:
+        def step(at: str) -> None:
+            if at == name:
+                raise InterruptedError
+        return step
+
+    put_file(tmp_path / "f", b"old")
+    with pytest.raises(InterruptedError):
+        put_file(tmp_path / "f", b"newer", dies_at("file.written"))
+    assert (tmp_path / "f").read_bytes() == b"old"
+    with pytest.raises(InterruptedError):
+        put_file(tmp_path / "f", b"newer", dies_at("file.renamed"))
+    assert (tmp_path / "f").read_bytes() == b"newer"
+
+
+def test_a_record_longer_than_any_is_no_length(tmp_path: Path) -> None:
+    path = tmp_path / "log"
+    path.write_bytes(MAGIC + (state_log.MOST_RECORD + 1).to_bytes(4, "big") + b"\0" * 40)
+    assert replay(path).records == []
