Prove plans and reservations at running instances; tell the owner again after a restart

The last one found a fault: a limiter that had drawn its part apart and was then killed no longer told the owner, since what was untold stood in memory alone; 4 of 6 units could have been drawn twice. What is untold is now rebuilt from the log at the start.

--- a/larklb/quota/book.py
+++ b/larklb/quota/book.py
@@ -9,6 +9,7 @@
 from larklb.quota.bucket import TokenBucket, fresh
 from larklb.quota.catalogue import Catalogue, plain
 from larklb.quota.reservations import LEAST, Reservation, Reservations
+from larklb.quota.ring import digest
 
 SPEAKS_HOLDS = 10000.0     # ms for which a peer is believed to speak so: it may come back as an older program
 
@@ -39,6 +40,10 @@
         self.newer = 0                               # the newest version heard of that is not here
         # Drawn apart, by customer and reservation: what the owner has not confirmed.
         self.untold: dict[int, dict[int, float]] = {}
+        for r in reservations.by_name.values() if reservations is not None else ():
+            # After a restart nobody knows what the owner has heard: it is told once more.
+            if not r.owned and r.apart:
+                self.untold.setdefault(digest(r.wanted.customer), {})[r.tag] = sum(r.apart.values())
         self._seek(float("-inf"))
 
     # Plans --------------------------------------------------------------------------------
