--- /dev/null
+++ b/benchmarks/load.py
@@ -0,0 +1,74 @@
+"""What the measurements share: load on limiters over kept connections, CPU and memory of a process."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import platform
+from collections import Counter
+from contextlib import suppress
+from pathlib import Path
+
+from larklb.lab.yard import job, read_answer
+
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def machine() -> str:
+    """For the figures: what they were taken on."""
+    names = [line.partition(":")[2].strip() for line in Path("/proc/cpuinfo").read_text().splitlines()
+             if line.startswith("model name")]
+    kind = names[0] if names else platform.machine()
+    return f"{os.cpu_count()} x {kind}, Python {platform.python_version()}"
+
+
+def cpu_seconds(pid: int) -> float:
+    """User and system time that a process has had."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def memory_mb(pid: int) -> float:
+    """Resident memory of a process."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+class Submitter:
+    """One kept connection that sends a job as soon as the last one is answered."""
+
+    def __init__(self) -> None:
+        self.statuses: Counter[int] = Counter()
+        self.broken = 0                  # jobs that ended without an answer
+
+    async def run(self, port: int, texts: asyncio.Queue[str] | list[str], stop: asyncio.Event) -> None:
+        """Until ``stop`` is set or a list of texts is at its end."""
+        source = iter(texts) if isinstance(texts, list) else None
+        streams = None
+        while not stop.is_set():
+            text = next(source, None) if source is not None else await texts.get()   # type: ignore[union-attr]
+            if text is None:
+                break
+            try:
+                if streams is None:
+                    streams = await asyncio.open_connection("127.0.0.1", port)
+                streams[1].write(text.encode())
+                status, headers, _ = await read_answer(streams[0])
+                self.statuses[status] += 1
+                if headers.get("connection") == "close":
+                    streams[1].close()
+                    streams = None
+            except (OSError, asyncio.IncompleteReadError):
+                self.broken += 1
+                if streams is not None:
+                    streams[1].close()
+                    streams = None
+                await asyncio.sleep(0.05)
+        if streams is not None:
+            with suppress(OSError):
+                streams[1].close()
+
+
+def orders(count: int, accounts: int, plan: str = "wide", spread: int = 1) -> list[str]:
+    """Jobs of so many customers in turn."""
+    return [job(service="place-order" if i % 2 else "stock-check", plan=plan, account=1 + i % accounts,
+                spread=spread) for i in range(count)]
--- a/larklb/cli/__init__.py
+++ b/larklb/cli/__init__.py
@@ -1,6 +1,7 @@
 """The command line: parses, calls, prints; decides nothing, and imports late what a command needs."""
 
 from larklb.cli import instances as instances
+from larklb.cli import lab as lab
 from larklb.cli import plans as plans
 from larklb.cli import reserve as reserve
 from larklb.cli import usage as usage
--- a/larklb/export/ledger.py
+++ b/larklb/export/ledger.py
@@ -35,6 +35,12 @@
 NEAR = 0.8                     # of the outbox's bound: said aloud from here on
 
 
+#: Where a crash can come: each write, sync, seal, send, acknowledgement and rename of ledger and exporter.
+STEPS = ("append", "appended", "sync", "cut", "file.written", "file.renamed", "sealed", "sending", "sent",
+         "acknowledged", "acked", "dropped", "rewrite.written", "rewrite.synced", "rewrite.renamed",
+         "shortened")
+
+
 class Ticket:
     """A try that has begun; its end is told once."""
 
--- /dev/null
+++ b/larklb/lab/trial.py
@@ -0,0 +1,197 @@
+"""``larklb try``: the example, started and shown to a newcomer on one machine."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections import Counter
+from datetime import UTC, datetime
+from pathlib import Path
+
+import grpc
+import grpc.aio
+
+from larklb.grpc.front import SERVICE
+from larklb.grpc.ratelimit_pb2 import RateLimitDescriptor
+from larklb.grpc.rls_pb2 import RateLimitRequest, RateLimitResponse
+from larklb.lab import example
+from larklb.lab.yard import ROOT, Discovery, ask, job
+
+CUSTOMER = 0x2A
+READY_S = 30.0
+
+
+def say(text: str) -> None:
+    print(text, flush=True)
+
+
+class Trial:
+    """One run; everything it started ends with it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.base = folder, example.free_base()
+        self.operator = example.write(folder, self.base)
+        self.nodes = example.execute_nodes(self.base)
+        self.discovery = Discovery(self.base + 30)
+        self.agent: asyncio.subprocess.Process | None = None
+        self.failed = 0
+
+    def _environment(self) -> dict[str, str]:
+        return {**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, (
+            str(ROOT), os.environ.get("PYTHONPATH"))))}
+
+    async def start(self) -> None:
+        await self.discovery.start()
+        for node in self.nodes:
+            await node.start()
+        log = (self.folder / "agent.log").open("wb")
+        self.agent = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "larklb", "agent", str(self.operator), env=self._environment(), stdout=log,
+            stderr=log)
+        until = asyncio.get_running_loop().time() + READY_S
+        for i in range(example.INSTANCES):
+            while True:
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                    if (await ask(self.base + i, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200:
+                        break
+                if asyncio.get_running_loop().time() > until or self.agent.returncode is not None:
+                    raise RuntimeError(f"instance n{i} did not start: see {self.folder / 'agent.log'}")
+                await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        if self.agent is not None and self.agent.returncode is None:
+            self.agent.send_signal(signal.SIGTERM)
+            await self.agent.wait()
+
+    async def command(self, *words: str) -> str:
+        """One of our own commands, shown as one would type it, and what it says."""
+        say(f"\n    $ larklb {' '.join(words)}")
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "larklb", *words, env=self._environment(), stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT)
+        out = (await process.communicate())[0].decode()
+        for line in out.splitlines():
+            say(f"      {line}")
+        if process.returncode:
+            self.failed += 1
+            say(f"      (ended with {process.returncode})")
+        return out
+
+    async def jobs(self, count: int, account: int = CUSTOMER) -> Counter[int]:
+        """So many jobs of one customer over all instances in turn: how often each status came."""
+        statuses: Counter[int] = Counter()
+        for i in range(count):
+            text = job(service="place-order", plan="taller", account=account, spread=example.INSTANCES)
+            statuses[(await ask(self.base + i % example.INSTANCES, text))[0]] += 1
+        return statuses
+
+    async def questions(self, count: int, account: int) -> Counter[str]:
+        """The same over gRPC, where only the quota is asked."""
+        words: Counter[str] = Counter()
+        entries = {"account": f"{account:016x}", "plan": "taller", "class": "place-order",
+                   "set": f"spread={example.INSTANCES},first=0"}
+        request = RateLimitRequest(domain="manta-yard", descriptors=[RateLimitDescriptor(
+            entries=[RateLimitDescriptor.Entry(key=k, value=v) for k, v in entries.items()])])
+        for i in range(count):
+            address = f"127.0.0.1:{self.base + 20 + i % example.INSTANCES}"
+            async with grpc.aio.insecure_channel(address) as channel:
+                call = channel.unary_unary(f"/{SERVICE}/ShouldRateLimit",
+                                           RateLimitRequest.SerializeToString, RateLimitResponse.FromString)
+                answer = await call(request, timeout=5, wait_for_ready=True)
+                words[RateLimitResponse.Code.Name(answer.overall_code)] += 1
+        return words
+
+    def check(self, good: bool, text: str) -> None:
+        say(f"  {'as it should be' if good else 'NOT as it should be'}: {text}")
+        self.failed += not good
+
+    async def show(self) -> None:
+        say(f"Three instances run, on ports {self.base} to {self.base + 2}; execute nodes and discovery are "
+            "stand-ins.\n\n1. One quota over all three: plan `taller` has a burst of 7 units.")
+        got = await self.jobs(12)
+        self.check(got[429] >= 4 and got[200] >= 7,
+                   f"12 orders over HTTP: {got[200]} served, {got[429]} beyond the quota (429)")
+        words = await self.questions(9, CUSTOMER + 1)
+        self.check(words["OVER_LIMIT"] >= 1 and words["OK"] >= 7,
+                   f"9 questions over gRPC for another customer: {words['OK']} OK, "
+                   f"{words['OVER_LIMIT']} OVER_LIMIT")
+        say("\n2. A plan changes in service: version 2 gives `taller` a burst of 20, filled at 20 a second.")
+        now = datetime.now(UTC).isoformat(timespec="milliseconds").replace("+00:00", "Z")
+        new = self.folder / "plans-2.toml"
+        new.write_text(example.CATALOGUE + f'\n[[version]]\nnumber = 2\nfrom = {now}\nnote = "a busy week"\n'
+                       "plans.taller = { rate = 20.0, burst = 20.0 }\n")
+        await self.command("plans", "diff", str(new), str(self.operator))
+        self.failed -= 1                       # that they differ is its status 1
+        await self.command("plans", "apply", str(new), str(self.operator))
+        await asyncio.sleep(1.2)
+        got = await self.jobs(15)
+        self.check(got[200] == 15, f"15 orders of the first customer: {got[200]} served")
+        say("\n3. Allowance reserved ahead: 30 units for a refit, within two minutes.")
+        customer = f"{CUSTOMER + 2:016x}"
+        await self.command("reserve", "add", str(self.operator), "refit", "--customer", customer, "--plan",
+                           "taller", "--units", "30", "--from", "now", "--until", "+120", "--set",
+                           "spread=3,first=0")
+        got = await self.jobs(60, CUSTOMER + 2)
+        await self.command("reserve", "list", str(self.operator))
+        self.check(got[200] >= 45, f"60 orders at once: {got[200]} served, of the bucket and the reservation")
+        say("\n4. Use, exported once and only once: into a folder here, to a billing receiver elsewhere.")
+        await self.command("usage", "export", str(self.operator))
+        await self.command("usage", "verify", str(self.operator))
+        seen = sum(len(node.seen) for node in self.nodes)
+        billed = sum(event["data"]["tries"] for path in (self.folder / "billed").iterdir()
+                     for event in json.loads(path.read_bytes()))
+        self.check(seen + words["OK"] == billed, f"the execute nodes saw {seen} orders and {words['OK']} "
+                   f"questions were granted; {billed} tries are in the exported files")
+
+    def words(self) -> str:
+        tool = "larklb" if sys.argv[0].endswith("larklb") else "python -m larklb"
+        return (f"\nLook around, in another terminal:\n"
+                f"  {tool} status {self.operator}\n"
+                f"  {tool} plans show {self.operator} --live\n"
+                f"  {tool} reserve list {self.operator}\n"
+                f"  {tool} usage show {self.operator} --rows\n"
+                f"  ls {self.folder / 'billed'}\n"
+                f"  curl -i http://127.0.0.1:{self.base}/stock-check/cleat-12 "
+                f"-H 'X-Service-Class: stock-check' -H 'Plan: taller' -H 'Account: {CUSTOMER:016x}' "
+                f"-H 'X-Correlation-Id: mine-1' -H 'X-Time-Left: 2' "
+                f"-H 'Quota-Info: units=1,spread=3,first=0'\n"
+                f"The example's files are explained in deploy/operator.toml and docs/operators/.")
+
+
+async def _run(once: bool) -> int:
+    stop = asyncio.Event()
+    for name in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(name, stop.set)
+    with tempfile.TemporaryDirectory(prefix="larklb-try-") as folder:
+        trial = Trial(Path(folder))
+        shown = asyncio.ensure_future(_shown(trial))
+        stopped = asyncio.ensure_future(stop.wait())
+        try:
+            await asyncio.wait((shown, stopped), return_when=asyncio.FIRST_COMPLETED)
+            if shown.done() and not once and not shown.exception():
+                say(trial.words() + "\nCtrl-C ends all of it.")
+                await stopped
+        finally:
+            shown.cancel()
+            stopped.cancel()
+            await trial.stop()
+        if shown.done() and not shown.cancelled() and (error := shown.exception()) is not None:
+            say(f"larklb: {error}")
+            return 1
+        say("Ended: instances, stand-ins and files.")
+        return 1 if trial.failed and shown.done() and not stop.is_set() else 0
+
+
+async def _shown(trial: Trial) -> None:
+    await trial.start()
+    await trial.show()
+
+
+def run(once: bool) -> int:
+    """0 if all went as it should."""
+    return asyncio.run(_run(once))
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -22,7 +22,7 @@
 from larklb.export import ledger as ledger_module
 from larklb.export import tally as t
 from larklb.export.audit import audit, read
-from larklb.export.ledger import Ledger
+from larklb.export.ledger import STEPS, Ledger
 from larklb.state.log import LogError, replay
 from tests.receiver import Receiver
 from tests.standins import ROOT, Limiter, Yard, ask, job
@@ -331,11 +331,6 @@
     raise AssertionError(f"{limiter.environment} was not reached")
 
 
-STEPS = ["append", "appended", "sync", "cut", "file.written", "file.renamed", "sealed", "sending", "sent",
-         "acknowledged", "acked", "dropped", "rewrite.written", "rewrite.synced", "rewrite.renamed",
-         "shortened"]
-
-
 async def killed_at(folder: Path, step: str, number: int) -> None:
     receiver = Receiver()
     await receiver.start()
