--- a/larklb/lab/check.py
+++ b/larklb/lab/check.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -46,7 +45,6 @@
         self.apart = {i: Letting(make(1), BURST * SHARE) for i in range(1, limiters + 1)}
         self.flying: list[tuple[int, Count | Confirmed]] = []       # to whom or from whom, and what
         self.let = 0.0                                      # by all, ever
-        self.granted = 0.0                                  # by the owner
         self.taken: dict[tuple[int, int], float] = {}       # by this owner, from a limiter's incarnation
         self.by: dict[tuple[int, int], float] = {}          # let in, by limiter and incarnation
 
@@ -68,7 +66,6 @@
         match name:
             case "grant":
                 self.bucket.tokens -= 1.0
-                self.granted += 1.0
                 self.let += 1.0
             case "let":
                 a = self.apart[n]
@@ -191,8 +188,3 @@
     for action in path:
         world.act(action)
     return world
-
-
-def largest(worlds: int, limiters: int = 1) -> int:
-    """The depth at which at least so many worlds differ."""
-    return next(d for d in itertools.count(1) if explore(d, limiters) >= worlds)
