Make a log whole again after a failed sync or cut, and write draws that were left out

Seen: with os functions that fail in turn, a torn end that could not be cut off left Log.append with OSError, not LogError; after one failed fsync a log took nothing more until a restart, and a second sync() on it succeeded and so claimed what the first had lost; a draw that the disk did not take (desk.keep serves it all the same) was never written, also with room again, so a restart drew it twice; OSError of a folder's sync ended the task that tidies reservations. Ruled out: reading. replay() gives whole records or refuses, at every byte (tests/test_state.py). At fault: Log.append (ftruncate in the handler), Log.sync (no look at `broken`), Log.rewrite, ReservedLog.drew, added. Change: the cut is tried again before the next record; a rewrite from memory, which is synced as a whole, lifts `broken`; draws wait, by reservation, as the sum they are, and go with the next draw or when all is tidied.

--- a/larklb/desk.py
+++ b/larklb/desk.py
@@ -153,7 +153,7 @@
         try:
             self.reserved.drew(drawn, self.config.settings.number)
         except LogError as error:
-            # Served all the same: a reservation that a full disk forgets is drawn twice at the worst.
+            # Served all the same, and written once the disk takes it: a kill before that draws it twice.
             self.counters.add("errors.reserved")
             log.error("a draw is kept in memory alone: %s", error)
 
@@ -270,8 +270,7 @@
         except RefusedError as error:
             raise AdminError(str(error)) from error
         except LogError as error:
-            del reservations.by_name[wanted.name], reservations.by_tag[r.tag]
-            reservations.by_key[key].remove(r)
+            reservations.drop(r)
             raise AdminError(f"it could not be kept: {error}") from error
         return self._shown(r)
 
--- a/larklb/quota/reservations.py
+++ b/larklb/quota/reservations.py
@@ -183,6 +183,11 @@
         self.by_key.setdefault(digest(r.wanted.customer), []).append(r)
         return r
 
+    def drop(self, r: Reservation) -> None:
+        """Forgets one altogether."""
+        del self.by_name[r.wanted.name], self.by_tag[r.tag]
+        self.by_key[digest(r.wanted.customer)].remove(r)
+
     def cancel(self, name: str, wall: float) -> Reservation:
         r = self.by_name.get(name)
         if r is None:
@@ -200,8 +205,7 @@
     def clean(self, wall: float) -> None:
         for r in list(self.by_name.values()):
             if r.advance(wall) not in PENDING and wall - r.wanted.end > KEPT:
-                del self.by_name[r.wanted.name], self.by_tag[r.tag]
-                self.by_key[digest(r.wanted.customer)].remove(r)
+                self.drop(r)
 
 
 def pace(w: Wanted) -> float:
--- a/larklb/state/log.py
+++ b/larklb/state/log.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import struct
 from collections.abc import Callable, Iterable, Sequence
@@ -98,7 +99,8 @@
         self.path, self.step = path, step
         found = replay(path)
         self.records, self.torn = found.records, found.torn
-        self.broken = ""                       # why nothing more can be written
+        self.broken = ""                       # why nothing more can be written before a rewrite
+        self.untidy = False                    # a torn end is still to be cut off
         try:
             self.fd = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
             if found.size == 0:
@@ -121,9 +123,14 @@
         data = b"".join(map(frame, payloads))
         self.step("append")
         try:
+            if self.untidy:
+                self._cut_off()
+            self.untidy = True
             self._write(self.fd, data, self.size)
+            self.untidy = False
         except OSError as error:
-            os.ftruncate(self.fd, self.size)
+            with contextlib.suppress(OSError):      # else it is tried again before the next record
+                self._cut_off()
             raise LogError(f"{self.path}: {error.strerror}") from error
         self.size += len(data)
         if self.next is not None:
@@ -134,6 +141,10 @@
                 self.drop_rewrite()
         self.step("appended")
 
+    def _cut_off(self) -> None:
+        os.ftruncate(self.fd, self.size)
+        self.untidy = False
+
     @staticmethod
     def _write(fd: int, data: bytes, at: int) -> None:
         view = memoryview(data)
@@ -142,8 +153,11 @@
             view, at = view[done:], at + done
 
     def sync(self) -> None:
-        """Blocks until all that was appended is on the disk.  After a failure nothing more is written:
-        what is on the disk is unknown then (fsync(2)), and only a restart, which reads it, can tell."""
+        """Blocks until all that was appended is on the disk.  After a failure nothing more is written: what
+        is on the disk is unknown then (fsync(2)), and a second try may claim what the first one lost.  A
+        rewrite, or a restart, which reads the file, makes it whole again."""
+        if self.broken:
+            raise LogError(f"{self.path}: {self.broken}")
         self.step("sync")
         try:
             os.fsync(self.fd)
@@ -180,7 +194,8 @@
         self.step("rewrite.synced")
 
     def swap(self) -> None:
-        """The new file takes the old one's place, in one step; durable once its folder is synced."""
+        """The new file, which has been synced, takes the old one's place, in one step; durable once its
+        folder is synced."""
         if self.next is None:
             raise LogError(f"{self.path}: the rewrite was given up")
         try:
@@ -190,6 +205,7 @@
             raise LogError(f"{self.path}: {error.strerror}") from error
         os.close(self.fd)
         self.fd, self.size, self.next = self.next, self.next_size, None
+        self.broken, self.untidy = "", False
 
     def drop_rewrite(self) -> None:
         if self.next is not None:
@@ -201,7 +217,10 @@
         self.begin_rewrite(payloads)
         self.sync_rewrite()
         self.swap()
-        sync_folder(self.path.parent)
+        try:
+            sync_folder(self.path.parent)
+        except OSError as error:
+            raise LogError(f"{self.path.parent}: {error.strerror}") from error
 
     def close(self) -> None:
         if self.fd >= 0:
--- a/larklb/state/reserved.py
+++ b/larklb/state/reserved.py
@@ -67,6 +67,7 @@
 
     def __init__(self, path: Path, reservations: Reservations, wall: float, step: Step = bool) -> None:
         self.reservations = reservations
+        self.late: dict[tuple[int, bool, int], _Drew] = {}       # draws that the disk has not taken yet
         self.log = Log(path, step)
         _load(self.log.records, reservations, path)
         self.log.records = []
@@ -81,26 +82,48 @@
         self.log.rewrite([_encode(_Added(r.wanted, r.owned, r.drawn, r.apart, r.state is State.CANCELLED))
                           for r in self.reservations.by_name.values()])
         self.floor = self.log.size
+        self.late.clear()
+
+    def _mend(self) -> None:
+        """A log whose sync failed is written anew, from memory; LogError while it cannot be."""
+        if self.log.broken:
+            self._rewrite()
 
     def added(self, r: Reservation) -> None:
         """Durable on return: the customer counts on it from then on."""
+        self._mend()
         self.log.append([_encode(_Added(r.wanted, r.owned))])
         self.log.sync()
 
     def cancelled(self, r: Reservation) -> None:
+        self._mend()
         self.log.append([_encode(_Cancelled(r.wanted.name))])
         self.log.sync()
 
     def drew(self, d: io.Drawn, number: int) -> None:
-        """Survives this process's death on return; no sync, for a request waits."""
-        self.log.append([_encode(_Drew(d.tag, d.units, d.apart, number if d.by < 0 else d.by))])
+        """Survives this process's death on return; no sync, for a request waits.  What LogError left out goes
+        with the next draw, or when all is tidied: a draw is told as the sum of all."""
+        by = number if d.by < 0 else d.by
+        self.late[d.tag, d.apart, by] = _Drew(d.tag, d.units, d.apart, by)
+        self._flush()
+
+    def _flush(self) -> None:
+        self._mend()
+        self.log.append(map(_encode, self.late.values()))
+        self.late.clear()
 
     def tidy(self, wall: float) -> None:
         """Off the requests' path: forgets what is long over, and the draws that newer ones replace."""
         self.reservations.clean(wall)
+        if self.late or self.log.broken:
+            self._flush()
         if self.log.size - self.floor > REWRITE:
             self._rewrite()
 
     def close(self) -> None:
-        self.log.sync()
-        self.log.close()
+        """LogError where not all could be kept."""
+        try:
+            self._flush()
+            self.log.sync()
+        finally:
+            self.log.close()
