Keep a batch until its acknowledgement is on the disk, and the ledger readable after a long full disk

Seen: with no room at the moment of an acknowledgement the batch's file went and the record did not stand in the log: killed before there was room again, the instance refused to start ("a sealed batch is missing"). With the disk full for longer than memory holds, the end of a try whose begin had been dropped raised KeyError in write(): jobs that waited for their count were never sent, and no later start could read the log. MemoryError did the same to the jobs. Ruled out: double billing by the receiver; a batch goes out under one id with the same bytes, which the test checks. At fault: note() and write() swallow the failure and acknowledged(), _seal() went on; Tally.apply(Ended) took every begin to be there; write() released its waiters only after LogError. Change: a step of a batch is in the log or LogError and taken back; an end without a begin counts nothing; waiters are released whatever fails; keep() writes a log anew whose sync failed. Test: each call of pwrite, write, fsync, ftruncate, rename and open fails, once and for a while, ENOSPC and EIO, then room, a kill and a start.

--- a/larklb/export/ledger.py
+++ b/larklb/export/ledger.py
@@ -103,7 +103,7 @@
         for batch in list(self.tally.batches.values()):
             if not batch.sealed:
                 put_file(self.file(batch), t.batch_bytes(self.instance, batch), self.step)
-                self._sealed(batch)
+                self._noted(t.Sealed(batch.seq))
             elif not self.file(batch).exists():
                 raise LogError(f"{self.file(batch)}: a sealed batch is missing: put the file back")
         self.outbox_bytes = sum(self.file(b).stat().st_size for b in self.tally.batches.values())
@@ -172,16 +172,11 @@
             self.unwritten.append(t.Ended(self.sent, self.unsent))
             self.sent, self.unsent = [], []
         records, self.unwritten = self.unwritten, []
+        waiters, self.waiters = self.waiters, []
         try:
             if records:
                 self.log.append([t.encode(r) for r in records])
-                for r in records:
-                    self.tally.apply(r)
-                self.dirty = True
-                if self.failing:
-                    log.warning("the ledger is written again")
-                    self.failing = False
-        except LogError as error:
+        except (LogError, MemoryError) as error:
             self.counters.add("errors.ledger")
             if not self.failing:
                 log.error("use is kept in memory alone: %s", error)
@@ -190,10 +185,17 @@
             if len(self.unwritten) > MOST_WAITING:
                 self.counters.add("errors.ledger_lost", len(self.unwritten) - MOST_WAITING)
                 del self.unwritten[MOST_WAITING:]
-        waiters, self.waiters = self.waiters, []
-        for done in waiters:
-            if not done.done():
-                done.set_result(None)
+        else:
+            for r in records:
+                self.tally.apply(r)
+            self.dirty = self.dirty or bool(records)
+            if records and self.failing:
+                log.warning("the ledger is written again")
+                self.failing = False
+        finally:
+            for done in waiters:             # whatever has failed, no job waits for good
+                if not done.done():
+                    done.set_result(None)
 
     # Batches ------------------------------------------------------------------------------
 
@@ -210,8 +212,7 @@
             if self.failing:
                 return 0
             if needed := self.tally.batches_needed():
-                self.note(t.Cut(self.tally.next_seq, needed, self.clock() * 1000.0))
-                self.write()
+                self._noted(t.Cut(self.tally.next_seq, needed, self.clock() * 1000.0))
                 self.step("cut")
             cut = [b for b in self.tally.batches.values() if not b.sealed]
             for batch in cut:
@@ -221,8 +222,8 @@
     async def _seal(self, batch: t.Batch) -> None:
         data = t.batch_bytes(self.instance, batch)
         await asyncio.to_thread(put_file, self.file(batch), data, self.step)
+        self._noted(t.Sealed(batch.seq))
         self.outbox_bytes += len(data)
-        self._sealed(batch)
         await self.sync()
         self.step("sealed")
         self.changed.set()
@@ -231,9 +232,14 @@
             log.warning("the outbox of sealed use is near its bound: %.1f of %.1f MB, the receiver is behind",
                         self.outbox_bytes / 1e6, self.most_bytes / 1e6)
 
-    def _sealed(self, batch: t.Batch) -> None:
-        self.note(t.Sealed(batch.seq))
+    def _noted(self, record: t.Record) -> None:
+        """A step of a batch stands in the log on return, or LogError and it was not taken: it is tried anew.
+        What follows a step would be wrong without it."""
+        self.note(record)
         self.write()
+        if self.failing:
+            self.unwritten.remove(record)
+            raise LogError(f"{self.log.path}: a batch waits until it can be written again")
 
     def ready(self) -> list[t.Batch]:
         """Batches that may go out, the oldest first."""
@@ -243,8 +249,7 @@
         """The receiver has it: durable before the file goes."""
         self.step("acknowledged")
         path = self.file(batch)
-        self.note(t.Acked(batch.seq))
-        self.write()
+        self._noted(t.Acked(batch.seq))
         await self.sync()
         self.step("acked")
         size = path.stat().st_size if path.exists() else 0
@@ -262,6 +267,8 @@
         while True:
             await asyncio.sleep(sync_ms / 1000.0)
             try:
+                if self.log.broken:
+                    await self.shorten()
                 if self.unwritten:
                     self.write()
                 if self.dirty:
@@ -278,10 +285,11 @@
                 log.error("the ledger's upkeep: %s", error)
 
     async def shorten(self) -> None:
-        """Writes the log anew as one record of what it adds up to, while counting goes on."""
+        """Writes the log anew as one record of what it adds up to, while counting goes on; a log whose sync
+        failed is whole again with it."""
         async with self.sealing, self.disk:
             self.write()
-            if self.failing:
+            if self.failing and not self.log.broken:
                 return
             self.log.begin_rewrite([t.encode(self.tally.base())])
             await asyncio.to_thread(self.log.sync_rewrite)
--- a/larklb/export/tally.py
+++ b/larklb/export/tally.py
@@ -160,11 +160,12 @@
             case Begun():
                 self.begun[r.n] = r
             case Ended():
+                # A begin is missing where the disk took nothing for longer than memory holds.
                 for n in r.sent:
-                    b = self.begun.pop(n)
-                    self._count(b.key, b.units)
+                    if (b := self.begun.pop(n, None)) is not None:
+                        self._count(b.key, b.units)
                 for n in r.unsent:
-                    del self.begun[n]
+                    self.begun.pop(n, None)
             case Used():
                 self._count(r.key, r.units)
             case Started():
--- a/tests/test_running_out.py
+++ b/tests/test_running_out.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
+import itertools
 import os
 from collections.abc import Callable
 from pathlib import Path
@@ -11,10 +13,16 @@
 import pytest
 
 from larklb import interface as io
+from larklb.counters import Counters
+from larklb.export import ledger as ledger_module
+from larklb.export import tally as t
+from larklb.export.audit import read
+from larklb.export.ledger import Ledger
 from larklb.quota.reservations import Reservations, Shares, Wanted
 from larklb.state import folder as state_folder
 from larklb.state.log import Log, LogError, replay
 from larklb.state.reserved import ReservedLog
+from tests.test_usage import ledger, served
 
 
 class Disk:
@@ -59,6 +67,144 @@
     log.close()
 
 
+def test_a_log_whose_sync_failed_is_whole_again_once_it_is_written_anew(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It stayed closed to all records until a restart, with all that came meanwhile in memory alone."""
+    async def go() -> None:
+        x = ledger(tmp_path)
+        await served(x, "before")
+        with monkeypatch.context() as patch:
+            Disk(patch, "fsync", lasting=False)
+            with pytest.raises(LogError):
+                await x.sync()
+            with pytest.raises(LogError, match="could not be brought"):
+                await x.sync()                  # a second try may claim what the first one lost
+        await served(x, "meanwhile")
+        keeping = asyncio.create_task(x.keep(10.0, 1e6))
+        await asyncio.sleep(0.2)
+        await served(x, "after")
+        x.write()
+        keeping.cancel()
+        assert read(tmp_path).counted == t.Sum(3_000_000, 3) and not x.failing
+        x.close()
+    asyncio.run(go())
+
+
+def test_a_batch_whose_acknowledgement_was_not_kept_stays_in_the_outbox(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its file went all the same: a kill before there was room left an instance that did not start."""
+    async def go() -> None:
+        x = ledger(tmp_path)
+        await served(x, "j")
+        assert await x.seal() == 1
+        batch = x.ready()[0]
+        with monkeypatch.context() as patch:
+            Disk(patch, "pwrite")
+            for _ in range(2):
+                with pytest.raises(LogError):
+                    await x.acknowledged(batch)
+        x.held.close()                                     # killed here
+        y = ledger(tmp_path)
+        assert [b.seq for b in y.ready()] == [batch.seq] and y.file(batch).exists()
+        await y.acknowledged(y.ready()[0])
+        assert y.tally.acked == t.Sum(1_000_000, 1) and not y.outbox_bytes
+        y.close()
+    asyncio.run(go())
+
+
+def test_after_more_than_memory_holds_the_ledger_goes_on_and_can_be_read(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The end of a try whose begin was dropped broke the sums, the jobs that waited, and the next start."""
+    async def go() -> None:
+        x = ledger(tmp_path)
+        monkeypatch.setattr(ledger_module, "MOST_WAITING", 5)
+        with monkeypatch.context() as patch:
+            Disk(patch, "pwrite")
+            out = [await asyncio.wait_for(x.begin(f"j{i}", t.Key(0, "1", "slow", 0, "c", 0, False), 1.0), 1)
+                   for i in range(9)]
+        for ticket in out:
+            ticket.whole = True
+            x.end(ticket)
+        await asyncio.wait_for(served(x, "again"), 1)
+        x.write()
+        lost = x.counters["errors.ledger_lost"]
+        x.close()
+        y = ledger(tmp_path)
+        assert lost == 4 and y.tally.counted.tries == 6 and not y.tally.in_doubt
+        y.close()
+    asyncio.run(go())
+
+
+@pytest.mark.parametrize("code", [errno.ENOSPC, errno.EIO])
+def test_use_is_billed_once_whichever_write_or_sync_fails(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, code: int) -> None:
+    """Each call fails, once and for a while; then there is room, a kill, and a start."""
+    async def day(folder: Path, after: int, lasting: bool) -> bool:
+        counters, billed = Counters("n0"), dict[str, bytes]()
+
+        async def deliver(x: Ledger) -> None:
+            for batch in x.ready():
+                name = f"{batch.incarnation}-{batch.seq}"
+                assert billed.setdefault(name, x.file(batch).read_bytes()) == x.file(batch).read_bytes()
+                await x.acknowledged(batch)
+
+        x = Ledger(folder, "n0", counters, clock=lambda: 1e6)
+        with monkeypatch.context() as patch:
+            disk = Disk(patch, "pwrite", "write", "fsync", "ftruncate", "rename", "open", after=after,
+                        lasting=lasting, code=code)
+            for i in range(3):
+                await asyncio.wait_for(served(x, f"j{i}"), 1)
+                await asyncio.sleep(0)
+                for step in (x.seal, lambda: deliver(x), x.shorten):
+                    try:
+                        await step()
+                    except (LogError, OSError):
+                        pass
+            reached = disk.left < 0
+        keeping = asyncio.create_task(x.keep(1.0, 1e6))     # there is room again
+        await asyncio.sleep(0.02)
+        keeping.cancel()
+        await asyncio.wait_for(served(x, "last"), 1)
+        x.write()
+        assert not x.failing and not x.log.broken
+        x.held.close()                                     # killed here
+        x.log.close()
+        y = Ledger(folder, "n0", counters, clock=lambda: 1e6)
+        await y.seal()
+        await deliver(y)
+        total = sum(t.batch_sum(data)[0].tries for data in billed.values())
+        assert total == y.tally.counted.tries == 4 and not list(y.outbox.iterdir())
+        y.close()
+        return reached
+
+    steps = itertools.count()
+    while any([asyncio.run(day(tmp_path / f"{after}-{lasting}", after, lasting))
+               for after in [next(steps)] for lasting in (False, True)]):
+        pass
+    assert next(steps) > 30
+
+
+def test_no_memory_for_a_count_keeps_no_job_waiting(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The records were gone, and the jobs that waited for them were never sent."""
+    async def go() -> None:
+        x = ledger(tmp_path)
+        real, calls = x.log.append, itertools.count()
+
+        def append(payloads: list[bytes]) -> None:
+            if next(calls) == 0:
+                raise MemoryError
+            real(payloads)
+
+        monkeypatch.setattr(x.log, "append", append)
+        await asyncio.wait_for(served(x, "j"), 1)
+        await asyncio.wait_for(served(x, "k"), 1)
+        x.write()
+        assert read(tmp_path).counted == t.Sum(2_000_000, 2)
+        x.close()
+    asyncio.run(go())
+
+
 def reserved_log(folder: Path) -> tuple[Reservations, ReservedLog]:
     reservations = Reservations(Shares(), 1, 0)
     return reservations, ReservedLog(folder / "reservations.log", reservations, 0.0)
