Take out what no part of the program consults: probes, told settings, fields of events

Seen: the module never asks for a probe, so ExecuteNodes.probe and _probe, Core.probe and io.Probe had never run (coverage: not one line); can_probe, list_ask_within, max_open, answer_grace, tip_time, late_fail_charge, a class's stream, a request's repeat, an outcome's used_percent and load, an entry's kind and limits.cores were read, some checked, and consulted nowhere. Ruled out: the simulator's wire may bring `probed` and `ledger_reply` events, so those stay readable; ceilings stay as told, since what beyond-quota jobs may do goes by them; unknown keys of the platform's settings are passed over as ever.

--- a/larklb/benchlink.py
+++ b/larklb/benchlink.py
@@ -19,37 +19,31 @@
 _STATE = {"up": io.State.UP, "draining": io.State.DRAINING, "removed": io.State.GONE}
 _LIST = {"incr": io.ListKind.CHANGES, "total": io.ListKind.WHOLE,
          "warm_copy": io.ListKind.RECALLED, "lost": io.ListKind.LOST}
-_CLIENT_REPEAT = 2
 
 
 def _result(word: str) -> io.Result:
     return io.Result(word)
 
 
-def _load(pairs: dict[str, float] | None) -> dict[str, float]:
-    return dict(pairs) if pairs else {}
-
-
 def _entry(row: list[Any]) -> io.Entry:
     weight = row[5] if row[5] is not None else 1.0
-    return io.Entry(server=row[0], zone=row[1], kind=row[2], cell=row[3], state=_STATE[row[4]],
+    return io.Entry(server=row[0], zone=row[1], cell=row[3], state=_STATE[row[4]],
                     weight=weight, started=row[6] or None)
 
 
 _EVENTS: dict[str, Callable[[list[Any]], io.Event]] = {
     "request": lambda m: io.Request(
         request=m[2], spread=int(m[3] or 1), first=int(m[4] or 0), plan=m[5],
-        repeat=bool(int(m[6] or 0) & _CLIENT_REPEAT), customer=m[7], due=m[8],
+        customer=m[7], due=m[8],
         units=m[9] if m[9] is not None else 1.0, service=m[10]),
     "timeout_fired": lambda m: io.Timer(m[2]),
     "ledger_reply": lambda m: io.CounterResult(
         m[2], io.Result.OK if m[3] == "ok" else _result(m[3]), m[4] or 0.0, m[5] or 0.0),
     "verdict": lambda m: io.Outcome(
         request=m[2], attempt=m[3], server=m[4], result=_result(m[5]), took=m[6] or 0.0,
-        complete=bool(m[7]), used_percent=m[8] - 1 if m[8] else None,
-        true_units=m[9] or None, load=_load(m[10])),
+        complete=bool(m[7]), true_units=m[9] or None),
     "vanished": lambda m: io.ClientGone(m[2]),
-    "probed": lambda m: io.ProbeResult(m[2], _result(m[3]), m[4] or 0.0, _load(m[5])),
+    "probed": lambda m: io.ProbeResult(m[2], _result(m[3]), m[4] or 0.0),
     "note_from": lambda m: io.PeerMessage(m[2], bytes.fromhex(m[3])),
     "established": lambda m: io.StreamStarted(m[2], m[5], m[3], m[4] or 0.0),
 }
@@ -65,8 +59,6 @@
             return ["drop_request", instance, a.request]
         case io.Cancel():
             return ["abandon", instance, a.request, a.attempt]
-        case io.Probe():
-            return ["inspect", instance, a.server]
         case io.Tell():
             return ["tell", instance, a.peer, a.data.hex()]
         case io.SetTimer():
--- a/larklb/core.py
+++ b/larklb/core.py
@@ -66,7 +66,6 @@
         self.plans = {p.name for p in settings.plans}
         self.jobs: dict[str, Job] = {}
         self.tell: Callable[[int, bytes], None] = lambda peer, data: None
-        self.probe: Callable[[str], None] = lambda server: None
         self.keep: Callable[[io.Drawn], None] = lambda drawn: None
         self.ledger: Ledger | None = None
         self.stopping = False
--- a/larklb/interface.py
+++ b/larklb/interface.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple
 
@@ -79,7 +79,6 @@
     repeat: Repeat = Repeat.SAFE
     group: Group = Group.ALL
     window: float = 0.0
-    stream: bool = False
 
 
 @dataclass(frozen=True)
@@ -108,22 +107,16 @@
     tick: float = 1.0
     inbox_per_s: float = 0.0
     can_tell: bool = True
-    can_probe: bool = False
     can_cancel: bool = False
     can_copy: bool = False
     must_ask_list: bool = False
-    list_ask_within: float = 0.0
     max_attempts: int = 1
-    max_open: int = 20000
     max_retry_after: float = 0.0
-    answer_grace: float = 0.0
     cold_share: float = 1.0
     warm_within: float = 0.0
     tip_multiple: float = 1.0
-    tip_time: float = 0.0
     drain_grace: float = 0.0
     cross_zone_charge: float = 0.0
-    late_fail_charge: float = 0.0
     trued_up: bool = False
     most_units: float = math.inf
 
@@ -161,7 +154,6 @@
 
     server: str
     zone: str = ""
-    kind: str = ""
     cell: int = 0
     state: State = State.UP
     weight: float = 1.0
@@ -181,7 +173,6 @@
     units: float = 1.0
     first: int = 0
     spread: int = 1
-    repeat: bool = False
     question: bool = False      # asks for the quota's word alone: ends in a Grant instead of a Send
 
 
@@ -205,9 +196,7 @@
     result: Result
     took: float
     complete: bool
-    used_percent: float | None = None
     true_units: float | None = None
-    load: dict[str, float] = field(default_factory=dict)
     spoilt: bool = False        # what came back cannot be read, though it came back
     stale: bool = False         # the connection had been closed while it rested: the server's way, no failing
 
@@ -230,7 +219,6 @@
     server: str
     result: Result
     took: float
-    load: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -314,11 +302,6 @@
     attempt: int
 
 
-@dataclass(frozen=True)
-class Probe:
-    server: str
-
-
 @dataclass(frozen=True)
 class Tell:
     peer: int
@@ -341,4 +324,4 @@
     text: str
 
 
-Action = Drawn | Send | Grant | Refuse | Fail | Cancel | Probe | Tell | SetTimer | Subscribe | Log
+Action = Drawn | Send | Grant | Refuse | Fail | Cancel | Tell | SetTimer | Subscribe | Log
--- a/larklb/net/execute.py
+++ b/larklb/net/execute.py
@@ -1,4 +1,4 @@
-"""The execute nodes: pooled connections, attempts and probes."""
+"""The execute nodes: pooled connections and attempts."""
 
 from __future__ import annotations
 
@@ -72,8 +72,6 @@
         self.grace = config.settings.drain_grace * GRACE_PART
         self.open = 0
         self.pools: defaultdict[Place, list[Link]] = defaultdict(list)
-        self.probes: set[asyncio.Task[None]] = set()
-        core.probe = self.probe
         self._sweep()
 
     # Connections --------------------------------------------------------------------------
@@ -238,33 +236,6 @@
         unseen = head.status_code in (503, 504) and (b"x-unprocessed", b"1") in list(head.headers)
         return Ended(io.Result.FULL if unseen else io.Result.ERROR, took)
 
-    # Probes -------------------------------------------------------------------------------
-
-    def probe(self, server: str) -> None:
-        task = asyncio.ensure_future(self._probe(server))
-        self.probes.add(task)
-        task.add_done_callback(self.probes.discard)
-
-    async def _probe(self, server: str) -> None:
-        """A health check that the module asked for, on a connection of its own."""
-        machine, started, result = self.machines.of.get(server), self.wheel.now(), io.Result.CONNECT_FAILED
-        if machine is None:
-            return
-        attempt = _Attempt()
-        timer = self.wheel.after(self.dial_timeout, attempt.stop, io.Result.TIMEOUT)
-        place = Place(server, machine.place)
-        link = self._pooled(place) or await self._dial(place, self.dial_timeout, attempt)
-        if link is not None:
-            attempt.link = link
-            with contextlib.suppress(h11.RemoteProtocolError, TooLongError):
-                link.write(h11.Request(method="GET", target="/healthz", headers=[("Host", "probe")]))
-                got = await link.read()
-                result = io.Result.OK if got is not None and got[0].status_code == 200 else io.Result.ERROR
-            self._end(link)
-        timer.cancel()
-        self.core.counters.add("probed")
-        self.core.feed(io.ProbeResult(server, attempt.result or result, self.wheel.now() - started))
-
 
 class _Attempt:
     """The handle by which an attempt that is out is ended before its answer."""
--- a/larklb/net/machines.py
+++ b/larklb/net/machines.py
@@ -65,7 +65,7 @@
             else:
                 known.place, known.closed_at = place, closed_at
             entries.append(io.Entry(
-                server=i.instance_id, zone=i.zone, kind=i.machine_type, cell=i.cell, state=state,
+                server=i.instance_id, zone=i.zone, cell=i.cell, state=state,
                 weight=i.weight, started=i.started_at_ms + self.offset if i.started_at_ms else None))
         if kind is not io.ListKind.CHANGES:
             named = {e.server for e in entries}
--- a/larklb/settings.py
+++ b/larklb/settings.py
@@ -23,7 +23,6 @@
     instance_id: str
     host_port: str
     zone: str = ""
-    machine_type: str = ""
     cell: int = 0
     lifecycle: str = "up"
     weight: float = 1.0
@@ -39,7 +38,6 @@
 
 
 class Limits(msgspec.Struct):
-    cores: float = 1.0
     memory_mb: int = 192
     sockets: int = 1024
 
--- a/larklb/told.py
+++ b/larklb/told.py
@@ -17,8 +17,7 @@
     classes = tuple(io.ServiceClass(
         name=c["name"], aim=c["aim"], deadline=c["deadline"], worth=c["gain"],
         late_worth=c.get("late_worth", 0.0), repeat=_REPEAT[c["semantics"]],
-        group=io.Group(c.get("group", "all")), window=c.get("window", 0.0),
-        stream=c.get("stream", False)) for c in raw["classes"])
+        group=io.Group(c.get("group", "all")), window=c.get("window", 0.0)) for c in raw["classes"])
     plans = tuple(io.Plan(
         name=t["name"], rate=t.get("quota_rate", 0.0), burst=t.get("depth", 0.0),
         most_open=t.get("concurrency", 0), price=t.get("pays", 1.0),
@@ -28,15 +27,14 @@
     return io.Settings(
         number=raw["ordinal"], gateways=raw["balancers"], classes=classes, plans=plans,
         zone=raw.get("my_zone", ""), tick=raw["tick"], inbox_per_s=family.get("inbox_per_s", 0.0),
-        can_tell=limits.get("may_tell", False), can_probe=limits.get("probes", False),
+        can_tell=limits.get("may_tell", False),
         can_cancel=limits.get("cancel", False), can_copy=limits.get("second_copies", False),
         must_ask_list=raw.get("discovery", "push") == "ask",
-        list_ask_within=safety.get("ask_within", 0.0), max_attempts=limits["max_attempts"],
-        max_open=limits.get("max_open", 20000),
+        max_attempts=limits["max_attempts"],
         max_retry_after=limits.get("max_retry_after", 0.0) if limits.get("retry_after") else 0.0,
-        answer_grace=safety.get("grace_to_answer", 0.0), cold_share=safety["cold_share"],
+        cold_share=safety["cold_share"],
         warm_within=safety["warm_within"], tip_multiple=safety["tip_multiple"],
-        tip_time=safety["fall"], drain_grace=safety["drain_grace"],
+        drain_grace=safety["drain_grace"],
         cross_zone_charge=charges.get("cross_zone", 0.0),
-        late_fail_charge=charges.get("late_fail", 0.0), trued_up=family.get("trued_up", False),
+        trued_up=family.get("trued_up", False),
         most_units=family.get("most_units") or math.inf)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -25,7 +25,7 @@
     values: dict[str, Any] = dict(
         number=0, gateways=1, classes=(SAFE, KEYED, ONCE), plans=(RATE, OPEN, FREE), tick=2.0,
         inbox_per_s=100.0, can_cancel=True, max_attempts=4, max_retry_after=2000.0, cold_share=0.2,
-        warm_within=10000.0, tip_multiple=2.0, tip_time=2000.0, drain_grace=1000.0)
+        warm_within=10000.0, tip_multiple=2.0, drain_grace=1000.0)
     values.update(changes)
     return io.Settings(**values)
 
