Let judgements and the rest of an answer take as long as long aims need

Seen: 500 ms for the rest of an answer and a half-life of 4 s for judgements were fitted to aims of 1.5 and 2 s. With aims of 6 s an answer in two pieces was called spoilt; with 30 s a slow node was forgiven at each answer. Change: a third of the least aim, 500 ms at the least; 2.5 of the least aim, 4 s at the least.

--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -41,7 +41,8 @@
 WORST = 12.0               # slowness that an error, time-out or refused connection counts as
 IDLE_PART = 0.9            # of the room of all servers: with less out, jobs beyond a quota may go on
 SPOILT = 4.0               # ... and a reset, or an answer of no use, from a server that is there
-FORGIVE_MS = 4000.0        # half-life of a judgement with no new answers: a server is then tried again
+FORGIVE_MS = 4000.0        # half-life of a judgement with no new answers: a server is then tried again ...
+FORGIVE_AIM = 2.5          # ... or so many aims, if they are long: it must outlast the answers it comes from
 TRIAL_PART = 0.25          # of that half-life passes between trials of a suspect, which are one at a time
 MEDIAN_AIM = 0.05          # part of the aim for which the median of the fleet's slowness is kept
 MEDIAN_OF = 25             # ... of so many servers, drawn where there are more
@@ -88,8 +89,8 @@
 class Server:
     """One server as this gateway sees it."""
 
-    def __init__(self, entry: io.Entry, number: int) -> None:
-        self.entry = entry
+    def __init__(self, entry: io.Entry, number: int, forgive: float) -> None:
+        self.entry, self.forgive = entry, forgive         # half-life of judgements
         self.short = digest(entry.server) & 0xFFFF
         self.order = digest(f"{number}/{entry.server}")   # gateways break ties differently
         self.attempts: list[Attempt] = []                 # out from here, oldest first
@@ -105,12 +106,12 @@
             return 1.0
         silent = now - max(self.attempts[0].sent, self.heard) if self.attempts else 0.0
         slow = max(min(WORST, silent / usual), self.faded(now, topics[0]), self.faded(now, topics[1]))
-        fresh = now - self.judged(topics[:1]) < FORGIVE_MS * TRIAL_PART
+        fresh = now - self.judged(topics[:1]) < self.forgive * TRIAL_PART
         return slow if fresh else max(slow, self.faded(now, ALL_WORK))
 
     def faded(self, now: float, topic: int) -> float:
         slow, at = self.marks.get(topic, (1.0, now))
-        return 1.0 + (slow - 1.0) * math.exp2(-max(0.0, now - at) / FORGIVE_MS)
+        return 1.0 + (slow - 1.0) * math.exp2(-max(0.0, now - at) / self.forgive)
 
     def judged(self, topics: Sequence[int]) -> float:
         return max((self.marks[t][1] for t in topics if t in self.marks), default=-math.inf)
@@ -212,7 +213,7 @@
                 self._lease_over(now, name, 0.0)
                 del self.leases[name]
         for server in list(self.servers.values()):
-            server.marks = {t: m for t, m in server.marks.items() if now - m[1] < 2 * FORGIVE_MS}
+            server.marks = {t: m for t, m in server.marks.items() if now - m[1] < 2 * server.forgive}
             if server.entry.state is io.State.GONE and not server.attempts:
                 del self.servers[server.entry.server]
                 self.by_short.pop(server.short, None)
@@ -582,7 +583,8 @@
                 server.entry = replace(server.entry, state=io.State.GONE)
         for name, entry in named.items():
             if name not in self.servers:
-                self.servers[name] = Server(replace(entry, started=None), self.s.number)
+                forgive = max(FORGIVE_MS, FORGIVE_AIM * self.aim)
+                self.servers[name] = Server(replace(entry, started=None), self.s.number, forgive)
             known = self.servers[name]
             self.by_short[known.short] = known
             if entry.started != known.entry.started:
@@ -645,7 +647,7 @@
                     or warmth < 1 and not self._cold_room(s, now, warmth)):
                 continue
             # A server that refuses or swallows work looks empty: without this it would draw all that waits.
-            if slow >= SUSPECT and (s.attempts or now - s.judged(topics) < FORGIVE_MS * TRIAL_PART):
+            if slow >= SUSPECT and (s.attempts or now - s.judged(topics) < s.forgive * TRIAL_PART):
                 continue
             score = (n + 1) / (size if among is up else 1.0) * slow     # a draw has weighed the size
             score *= max(1.0, slow) if h.cls.repeat is io.Repeat.NEVER else 1.0    # one chance only
--- a/larklb/net/execute.py
+++ b/larklb/net/execute.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import errno
 import logging
 from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple
@@ -29,7 +29,9 @@
 FRESH_GROW = 1.02        # ... and grows so with each that was not
 SWEPT = 1000.0           # ms between looks for connections that are no longer used
 STALE_WITHIN = 20.0      # ms from the send to the reset of a connection that was closed before
-ANSWER_REST = 500.0      # ms for an answer that has begun
+ANSWER_REST = 500.0      # ms for the rest of an answer that has begun, and ...
+REST_AIM = 1 / 3         # ... more where aims are long: this part of the least
+_OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 GRACE_PART = 0.8         # of the drain grace is used, the rest is for what lies between us and the node
 
 
@@ -69,6 +71,7 @@
         self.idle_limit = config.conn_idle * IDLE_PART
         self.fresh = self.idle_limit             # a connection that has rested longer is not used again
         self.most = int(config.sockets * SOCKETS_PART)
+        self.rest = max(ANSWER_REST, REST_AIM * min(c.aim for c in config.settings.classes))
         self.grace = config.settings.drain_grace * GRACE_PART
         self.open = 0
         self.pools: defaultdict[Place, list[Link]] = defaultdict(list)
@@ -209,7 +212,7 @@
             if ticket is not None:
                 ticket.whole = True
             got = await link.read(begun=lambda: rest.append(
-                self.wheel.after(ANSWER_REST, attempt.spoil, "it does not end")))
+                self.wheel.after(self.rest, attempt.spoil, "it does not end")))
         except OSError:
             pass
         except (h11.RemoteProtocolError, TooLongError) as error:
--- /dev/null
+++ b/tests/test_hardening.py
@@ -0,0 +1,96 @@
+"""Failures of the process's own: one costs what it meets, is heard of, and is over when its cause is."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from larklb import interface as io
+from larklb.core import Core
+from larklb.decide import ALL_WORK
+from larklb.lab import yard as lab_yard
+from larklb.net import execute
+from larklb.net.machines import Machine
+from tests.conftest import Bed
+from tests.standins import Yard, ask, http, job
+
+
+class Once:
+    """Fails the n-th call of what it stands for, and only that."""
+
+    def __init__(self, real: Callable[..., Any], n: int = 0, error: BaseException | None = None) -> None:
+        self.real, self.left, self.error = real, n, error or MemoryError()
+
+    def __get__(self, thing: Any, kind: Any = None) -> Callable[..., Any]:
+        return lambda *args, **more: self(thing, *args, **more)
+
+    def __call__(self, *args: Any, **more: Any) -> Any:
+        self.left -= 1
+        if self.left == -1:
+            raise self.error
+        return self.real(*args, **more)
+
+
+class Driven(Bed):
+    """As the core does it: what was decided before a failure is carried out."""
+
+    def give(self, i: int, event: io.Event) -> list[io.Action]:
+        try:
+            return super().give(i, event)
+        except MemoryError:
+            self._act(i, self.gateways[i].actions)
+            return self.gateways[i].actions
+
+
+MEETS = ["larklb.quota.book.Book.made", "larklb.decide.Gateway._decide", "larklb.decide.Gateway._choose",
+         "larklb.decide.Gateway._send", "larklb.quota.bucket.TokenBucket.fill",
+         "larklb.decide.Gateway._after"]
+
+
+def test_a_judgement_outlasts_the_answers_it_comes_from_where_aims_are_long() -> None:
+    """Its half-life of 4 s was fitted to aims of 1.5 s: with 30 s a slow node was forgiven at each answer."""
+    for aim, expected in ((1000.0, 4000.0), (30000.0, 75000.0)):
+        b = Bed(servers=1, classes=(io.ServiceClass("read", aim=aim, deadline=4 * aim),))
+        b.ask(0, "r", plan="free", due=4 * aim)
+        b.end(0, "r", io.Result.ERROR, took=aim)
+        server = b.gateways[0].servers["s0"]
+        bad = server.faded(b.now, ALL_WORK) - 1.0
+        assert bad > 1.0 and server.faded(b.now + expected, ALL_WORK) - 1.0 == pytest.approx(bad / 2)
+
+
+# Descriptors, and tasks that go on for good -------------------------------------------------
+
+
+def nodes_of(core: Core, **machines: Machine) -> execute.ExecuteNodes:
+    listed: Any = type("M", (), {"of": machines})()
+    config: Any = type("C", (), {"dial_timeout": 250.0, "conn_idle": 30000.0, "sockets": 64,
+                                 "settings": core.settings})()
+    return execute.ExecuteNodes(config, core, listed)
+
+
+def test_an_answer_in_pieces_has_time_where_aims_are_long(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Half a second for the rest of an answer was one deployment's; its aims are 1.5 s."""
+    monkeypatch.setattr(lab_yard, "CLASSES", [{**c, "aim": 6000.0, "deadline": 20000.0}
+                                              for c in lab_yard.CLASSES])
+
+    async def go() -> None:
+        async with Yard(tmp_path, nodes=1) as yard:
+            first = yard.nodes[0]
+
+            async def slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(http(200, b"both halves")[:-6])
+                await asyncio.sleep(0.9)
+                writer.write(b"halves")
+
+            assert first.server is not None
+            first.server.close()
+            first.server = await asyncio.start_server(slowly, "127.0.0.1", first.port)
+            status, _, body = await ask(yard.limiters[0].port, job(left=15.0))
+            assert (status, body) == (200, b"both halves")
+    asyncio.run(go())
