Open the socket between limiters again after it failed

Seen: asyncio closes a datagram socket at anything but OSError while it reads, MemoryError above all; Peers then had no transport, told nobody and heard nobody until a restart: each quota on shares and copies. Ruled out: OSError (error_received, counted, socket stays). At fault: Peers.connection_lost, which took every end for an orderly one. Change: it is opened again after 500 ms, and again until it is; an orderly close stays closed. Before: 0 datagrams heard after the failure; after: heard, errors.peers_socket counts 1.

--- a/larklb/net/peers.py
+++ b/larklb/net/peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import Any
 
 from larklb import interface as io
@@ -10,6 +11,10 @@
 from larklb.peerwire import MOST_BYTES, unpack
 from larklb.settings import Config
 
+log = logging.getLogger(__name__)
+
+AGAIN = 500.0              # ms before a socket that failed is opened again
+
 
 class Peers(asyncio.DatagramProtocol):
     """Takes datagrams from known limiters only; what is not one of theirs is counted and dropped."""
@@ -18,14 +23,42 @@
         self.core = core
         self.addresses = config.peers
         self.numbers = {place: i for i, place in enumerate(config.peers) if i != config.settings.number}
+        self.where = config.peer_listen
         self.transport: asyncio.DatagramTransport | None = None
+        self.closing = False
+        self.opening: asyncio.Task[None] | None = None
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
         self.core.tell = self.tell
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """A socket that failed is opened again: without it a limiter is apart from all others for good."""
         self.transport = None
+        if not self.closing:
+            self.core.counters.add("errors.peers_socket")
+            log.error("the socket between limiters failed: %s", exc)
+            self.core.wheel.after(AGAIN, self._again)
+
+    def _again(self) -> None:
+        async def again() -> None:
+            try:
+                await self.open()
+            except OSError as error:
+                log.error("the socket between limiters: %s", error)
+                self.core.wheel.after(AGAIN, self._again)
+        if not self.closing:
+            self.opening = asyncio.ensure_future(again())
+
+    async def open(self) -> None:
+        """OSError where the address cannot be had."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, self.where)
+
+    def close(self) -> None:
+        self.closing = True
+        if self.transport is not None:
+            self.transport.close()
 
     def tell(self, peer: int, data: bytes) -> None:
         if self.transport is None or not 0 <= peer < len(self.addresses):
@@ -51,6 +84,6 @@
 async def listen(config: Config, core: Core) -> Peers | None:
     if config.peer_listen is None:
         return None
-    loop = asyncio.get_running_loop()
-    _, peers = await loop.create_datagram_endpoint(lambda: Peers(config, core), config.peer_listen)
+    peers = Peers(config, core)
+    await peers.open()
     return peers
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -89,8 +89,8 @@
         await store.close()
     if desk is not None:
         await desk.stop()
-    if listener is not None and listener.transport is not None:
-        listener.transport.close()
+    if listener is not None:
+        listener.close()
     print(counters.as_json(), file=sys.stderr, flush=True)
 
 
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -13,12 +14,12 @@
 from larklb.core import Core
 from larklb.decide import ALL_WORK
 from larklb.lab import yard as lab_yard
-from larklb.net import execute
+from larklb.net import execute, peers
 from larklb.net.machines import Machine, Machines
 from larklb.state.log import LogError, replay
 from larklb.upkeep import for_good
 from tests.conftest import Bed
-from tests.standins import Discovery, Yard, ask, http, job
+from tests.standins import Discovery, Yard, ask, free_port, http, job
 from tests.test_core import core_with
 
 
@@ -75,6 +76,30 @@
     return execute.ExecuteNodes(config, core, listed)
 
 
+def test_the_socket_between_limiters_is_opened_again() -> None:
+    """After one failure to read from it a limiter was apart from all others until its restart."""
+    async def go() -> None:
+        core = core_with()
+        heard: list[io.Event] = []
+        setattr(core, "feed", heard.append)     # noqa: B010
+        ports = [free_port(socket.SOCK_DGRAM) for _ in range(2)]
+        config: Any = type("C", (), {"peer_listen": ("127.0.0.1", ports[0]), "settings": core.settings,
+                                     "peers": tuple(("127.0.0.1", p) for p in ports)})()
+        listener = await peers.listen(config, core)
+        assert listener is not None and listener.transport is not None
+        listener.transport._fatal_error(MemoryError())      # type: ignore[attr-defined]
+        await asyncio.sleep((peers.AGAIN + 200.0) / 1000.0)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+            other.bind(("127.0.0.1", ports[1]))
+            other.sendto(b"\xb1\x08\x00", ("127.0.0.1", ports[0]))
+            await asyncio.sleep(0.1)
+        assert [type(e) for e in heard] == [io.PeerMessage] and core.counters["errors.peers_socket"] == 1
+        listener.close()
+        await asyncio.sleep(peers.AGAIN / 1000.0 + 0.1)
+        assert listener.transport is None, "and an orderly end is one"
+    asyncio.run(go())
+
+
 def test_the_watch_goes_on_after_a_failure_that_nobody_foresaw() -> None:
     """It ended, with a line in the log: jobs went to nodes that had long been gone."""
     async def go() -> None:
