Blame no node for a connection that we had no descriptor or memory for

Seen: EMFILE at a dial was CONNECT_FAILED like any other, each node came to be a suspect, and the news of it went to the other limiters. The same where our own bound on connections was reached. Ruled out: accept (asyncio pauses 1 s and goes on), watch (tries again), files (LogError). At fault: ExecuteNodes._dial and attempt, which drop the errno; _learn, which knows no other cause. Change: such an outcome blames nobody, as a stale connection does, and errors.no_descriptor counts it.

--- a/larklb/interface.py
+++ b/larklb/interface.py
@@ -198,7 +198,8 @@
     complete: bool
     true_units: float | None = None
     spoilt: bool = False        # what came back cannot be read, though it came back
-    stale: bool = False         # the connection had been closed while it rested: the server's way, no failing
+    stale: bool = False         # no failing of the server's: its connection had been closed while it rested,
+                                # or none could be opened here for want of descriptors or memory
 
 
 @dataclass(frozen=True)
--- a/larklb/net/execute.py
+++ b/larklb/net/execute.py
@@ -52,7 +52,7 @@
     kind: bytes = b""
     body: bytes = b""
     spoilt: bool = False        # there was an answer, of no use
-    stale: bool = False         # the connection had been closed before
+    stale: bool = False         # the connection had been closed before, or we had no means for one
 
 
 class Place(NamedTuple):
@@ -134,19 +134,24 @@
             idle = [(link.since, at) for at, pool in self.pools.items() for link in pool[:1]]
             if not idle:
                 self.core.counters.add("errors.no_descriptor")
+                attempt.ours = True
                 return None
             at = min(idle)[1]
             self._drop(at, self.pools[at][0])
         self.open += 1
         self.core.counters.add("dialled")
-        attempt.dialling = asyncio.ensure_future(dial(*place.address))
+        dialling = attempt.dialling = asyncio.ensure_future(dial(*place.address))
         link = None
         try:
-            link = await finished(attempt.dialling, within, self.wheel)
+            link = await finished(dialling, within, self.wheel)
         finally:
             attempt.dialling = None
             if link is None:
                 self.open -= 1
+        error = None if link is not None or dialling.cancelled() else dialling.exception()
+        if isinstance(error, MemoryError) or isinstance(error, OSError) and error.errno in _OURS:
+            self.core.counters.add("errors.no_descriptor")
+            attempt.ours = True
         return link
 
     # Attempts -----------------------------------------------------------------------------
@@ -171,7 +176,7 @@
                 link = await self._dial(place, min(left, self.dial_timeout), attempt)
             if link is None:
                 result = io.Result.CONNECT_FAILED if attempt.result is None else io.Result.MOOT
-                return Ended(result, self.wheel.now() - started)
+                return Ended(result, self.wheel.now() - started, stale=attempt.ours)
             await self.core.count(job, send.stamp)
             if attempt.result is not None:           # called off or out of time before a byte was written
                 kept = True
@@ -243,13 +248,14 @@
 class _Attempt:
     """The handle by which an attempt that is out is ended before its answer."""
 
-    __slots__ = ("result", "link", "dialling", "spoilt")
+    __slots__ = ("result", "link", "dialling", "spoilt", "ours")
 
     def __init__(self) -> None:
         self.result: io.Result | None = None
         self.link: Link | None = None
         self.dialling: asyncio.Future[Link] | None = None
         self.spoilt = ""              # why its answer is of no use
+        self.ours = False             # no connection for want of descriptors or memory: not the node's fault
 
     def spoil(self, why: str) -> None:
         """The answer cannot be used; whoever reads it finds that out here."""
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 from pathlib import Path
@@ -76,6 +77,30 @@
     return execute.ExecuteNodes(config, core, listed)
 
 
+@pytest.mark.parametrize("error", [OSError(errno.EMFILE, "too many"), MemoryError()])
+def test_no_descriptor_for_a_dial_is_no_nodes_fault(
+        monkeypatch: pytest.MonkeyPatch, error: Exception) -> None:
+    """All nodes came to be suspects here and, by the news of it, at the other limiters."""
+    async def none(host: str, port: int) -> Any:
+        raise error
+
+    async def go() -> None:
+        core = core_with()
+        core.feed(io.ServerList(io.ListKind.RECALLED, 1, (io.Entry("s"),)))
+        monkeypatch.setattr(execute, "dial", none)
+        nodes = nodes_of(core, s=Machine(("127.0.0.1", 1)))
+        taken = core.take(io.Request("r", "read", "free", "c", core.wheel.now() + 3000.0))
+        action = await taken.next()
+        assert isinstance(action, io.Send)
+        ended = await nodes.attempt(taken, action, execute.Content(b"GET", b"/read", (), b""))
+        assert ended.result is io.Result.CONNECT_FAILED
+        core.outcome(taken, "s", ended.result, ended.took, ended.spoilt, ended.stale)
+        server = core.gateway.servers["s"]
+        assert server.faded(core.wheel.now(), ALL_WORK) == 1.0 and not core.gateway.news
+        assert core.counters["errors.no_descriptor"] == 1 and nodes.open == 0
+    asyncio.run(go())
+
+
 def test_the_socket_between_limiters_is_opened_again() -> None:
     """After one failure to read from it a limiter was apart from all others until its restart."""
     async def go() -> None:
