Set what comes round for its next round before it begins

Seen: Gateway._clean, _repeat, Front._sweep and ExecuteNodes._sweep set their next timer last of all. One failure in a round (no memory) was the last round: tables grew for good, silent strangers stayed, owners were told nothing more. Ruled out: the wheel, which goes on with the other timers of a tick. Change: the next round is set first. Before: one call of alone.clean and no more; after: it goes on.

--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -201,6 +201,7 @@
 
     def _clean(self, now: float) -> None:
         """Idle buckets, copies and leases age out; state stays bounded by recent traffic."""
+        self._after(self.most_due / 4, self._clean)      # first: one that fails must not be the last
         for key, (told, b) in list(self.buckets.items()):
             self.book.fit(now, key, told, b)
             self.alone.hold(now, key, b)
@@ -222,7 +223,6 @@
         self.free_at = {peer: at for peer, at in self.free_at.items() if at > now}
         self.asks = {number: h for number, h in self.asks.items() if now < h.due}
         self.owners.clear()
-        self._after(self.most_due / 4, self._clean)
 
     def bucket_rows(self) -> list[tuple[int, str, float, float]]:
         """The owned buckets for a store: customer, plan, tokens and when they were counted."""
@@ -380,12 +380,12 @@
 
     def _repeat(self, now: float) -> None:
         """Who is silent is asked for a word, and owners are told again what they have not confirmed."""
+        self._after(REPEAT_MS, self._repeat)
         self.alone.near = self._gap(now) <= REPEAT_MS / 2
         for peer in self.alone.quiet(now):
             self._knock(now, peer)
         for peer in self.alone.owing(now, self.repeat):
             self._wake(peer)
-        self._after(REPEAT_MS, self._repeat)
 
     def _beyond(self, now: float, h: Held, wait: float) -> None:
         """Turned down by the quota: goes on all the same where the plan earns by it and servers are idle."""
--- a/larklb/net/execute.py
+++ b/larklb/net/execute.py
@@ -81,6 +81,7 @@
 
     def _sweep(self) -> None:
         """Idle connections go well before the node closes them, and when their node has left the list."""
+        self.wheel.after(min(self.idle_limit / 4, SWEPT), self._sweep)
         now = self.wheel.now()
         listed = {Place(name, m.place) for name, m in self.machines.of.items() if m.closed_at is None}
         for place, pool in list(self.pools.items()):
@@ -89,7 +90,6 @@
                     self._drop(place, link)
             if not pool:
                 del self.pools[place]
-        self.wheel.after(min(self.idle_limit / 4, SWEPT), self._sweep)
 
     def _drop(self, place: Place, link: Link) -> None:
         if link in self.pools[place]:
--- a/larklb/net/front.py
+++ b/larklb/net/front.py
@@ -142,6 +142,7 @@
 
     def _sweep(self) -> None:
         """What says nothing, or hangs in the middle of a message, must not hold a descriptor for good."""
+        self.wheel.after(SWEEP, self._sweep)      # first: a sweep that fails must not be the last
         now = self.wheel.now()
         for link in list(self.links):
             if link.busy:
@@ -153,7 +154,6 @@
             if now - (link.begun or link.since) > (HALF_MESSAGE if link.new or link.begun else IDLE):
                 self.core.counters.add("errors.half_message" if link.more() else "closed.idle")
                 self._close(link)
-        self.wheel.after(SWEEP, self._sweep)
 
     def _close(self, link: Link) -> None:
         """Ends a connection that carries no job; its descriptor is free as soon as the loop comes round."""
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -51,6 +51,21 @@
             return self.gateways[i].actions
 
 
+# The module ---------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("what", ["alone.clean", "alone.quiet"])
+def test_what_comes_round_comes_round_again_after_a_failure(what: str) -> None:
+    """Cleaning up was set for its next round last of all: one failure, and state grew for good."""
+    b = Driven(gateways=2)
+    part, name = what.split(".")
+    thing = getattr(b.gateways[0], part)
+    fails = Once(getattr(thing, name))
+    setattr(thing, name, fails)
+    b.run(5000.0)
+    assert fails.left < -2
+
+
 MEETS = ["larklb.quota.book.Book.made", "larklb.decide.Gateway._decide", "larklb.decide.Gateway._choose",
          "larklb.decide.Gateway._send", "larklb.quota.bucket.TokenBucket.fill",
          "larklb.decide.Gateway._after"]
