Forget nobody who waits behind a job whose turn fails

Seen: _pump took the whole queue out of `waiting` and put it back one by one; a failure at one lost all behind it: they were answered at their due time, parked. Change: the rest stays in `waiting` until its turn; the order is as before (sorted, reversed, popped).

--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -696,9 +696,12 @@
 
     def _pump(self, now: float) -> None:
         """Room may be free: what is worth most for its work goes first, what would be late is shed."""
-        queue, self.waiting, full = [h for h in self.waiting if not h.ended], [], False
+        queue, full = [h for h in self.waiting if not h.ended], False
         queue.sort(key=lambda h: (-self._value(now, h), -h.came))
-        for h in queue:
+        queue.reverse()
+        self.waiting, kept = queue, []          # a failure costs the one that it meets, not those behind it
+        while queue:
+            h = queue.pop()
             usual = self.usual[h.cls.name]
             if self._value(now, h) <= 0 or now + usual >= h.due:
                 self._answer(now, h, self.s.max_retry_after)
@@ -706,7 +709,8 @@
                 self._send(now, h, server)
             else:
                 full = full or not h.ran()
-                self.waiting.append(h)
+                kept.append(h)
+        self.waiting = kept
 
     def _send(self, now: float, h: Held, server: Server) -> None:
         index = len(h.attempts)
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -66,6 +66,20 @@
     assert fails.left < -2
 
 
+def test_one_that_waits_and_fails_costs_those_behind_it_nothing() -> None:
+    """Whoever waited for room behind it was forgotten until its time was over."""
+    b = Driven(servers=1)
+    b.ask(0, "r0", plan="free")
+    while not b.gateways[0].waiting:
+        b.ask(0, f"r{b.count}", plan="free")
+    for i in range(4):
+        b.ask(0, f"w{i}", plan="free")
+    choose = Once(b.gateways[0]._choose)
+    b.gateways[0]._choose = choose      # type: ignore[method-assign]
+    b.end(0, "r0")
+    assert choose.left < 0 and len(b.gateways[0].waiting) >= 4
+
+
 MEETS = ["larklb.quota.book.Book.made", "larklb.decide.Gateway._decide", "larklb.decide.Gateway._choose",
          "larklb.decide.Gateway._send", "larklb.quota.bucket.TokenBucket.fill",
          "larklb.decide.Gateway._after"]
