Fail a job at once that our own failure leaves undecided, and let go of it

Seen, with MemoryError raised at each call of what keeps jobs and buckets in turn: the job waited for its due time and was answered then; the module kept it and the units it had taken. A job that could not be taken ended its connection with no answer and left its id taken. Of a gRPC call with several questions those taken before a failure stayed. An action that failed took those behind it along, a Send among them was believed to be out for good. At fault: Core.feed (nobody told the job), Core.take (registered first), Front._life and RateLimitFront._asked (take outside their try), Core._carry_out (one try for none). Change: an undecided job gets Fail at once and the module a ClientGone; 500 where a job cannot be taken; each action on its own. The event `idle`, which nobody waited for, goes.

--- a/larklb/core.py
+++ b/larklb/core.py
@@ -68,9 +68,6 @@
         self.tell: Callable[[int, bytes], None] = lambda peer, data: None
         self.keep: Callable[[io.Drawn], None] = lambda drawn: None
         self.ledger: Ledger | None = None
-        self.stopping = False
-        self.idle = asyncio.Event()          # set while no job is held
-        self.idle.set()
 
     def start(self) -> None:
         self._carry_out(self.gateway.start(self.wheel.now()))
@@ -80,41 +77,55 @@
             actions = self.gateway.handle(self.wheel.now(), event)
         except Exception:
             # The module has recorded what it did before it failed: that much is carried out, so that what it
-            # believes to be out really is; the job that is now left without a decision fails at its due time.
+            # believes to be out really is.
             log.exception("the module failed on %s", type(event).__name__)
             self.counters.add("errors.module")
             actions = self.gateway.actions
+            self._carry_out(actions)
+            if isinstance(event, io.Request | io.Outcome):
+                self._undecided(event.request, actions)
+            return
         self._carry_out(actions)
 
+    def _undecided(self, name: str, actions: list[io.Action]) -> None:
+        """A job that the module's failure left without a decision fails now, and the module lets go of it."""
+        if name in self.jobs and not any(isinstance(a, io.Send | io.Grant | io.Refuse | io.Fail)
+                                         and a.request == name for a in actions):
+            self.feed(io.ClientGone(name))
+            self.jobs[name].put(io.Fail(name))
+
     def _carry_out(self, actions: list[io.Action]) -> None:
         for a in actions:
-            match a:
-                case io.SetTimer():
-                    self.wheel.after(a.after, self.feed, io.Timer(a.mark))
-                case io.Drawn():
-                    self.keep(a)           # before what tells of it leaves
-                case io.Tell():
-                    self.tell(a.peer, a.data)
-                case io.Cancel():
-                    job = self.jobs.get(a.request)
-                    if job is not None and job.stop is not None and a.attempt == job.attempts - 1:
-                        job.stop(io.Result.CANCELLED)
-                case io.Send() | io.Grant() | io.Refuse() | io.Fail():
-                    if a.request in self.jobs:
-                        self.jobs[a.request].put(a)
-                case io.Probe():
-                    self.probe(a.server)
-                case io.Log():
-                    log.info("%s", a.text)
+            try:
+                match a:
+                    case io.SetTimer():
+                        self.wheel.after(a.after, self.feed, io.Timer(a.mark))
+                    case io.Drawn():
+                        self.keep(a)           # before what tells of it leaves
+                    case io.Tell():
+                        self.tell(a.peer, a.data)
+                    case io.Cancel():
+                        job = self.jobs.get(a.request)
+                        if job is not None and job.stop is not None and a.attempt == job.attempts - 1:
+                            job.stop(io.Result.CANCELLED)
+                    case io.Send() | io.Grant() | io.Refuse() | io.Fail():
+                        if a.request in self.jobs:
+                            self.jobs[a.request].put(a)
+                    case io.Log():
+                        log.info("%s", a.text)
+            except Exception:
+                # The others are carried out all the same: what the module believes to be out must be.
+                log.exception("an action was not carried out: %s", type(a).__name__)
+                self.counters.add("errors.action")
 
     def take(self, request: io.Request) -> Job:
         """From here on the job is owed one final answer."""
-        job = self.jobs[request.request] = Job(request)
-        self.idle.clear()
+        job = Job(request)
         # The module answers before the due time or an attempt times out at it.  Should both fail to
         # happen, the job must still end: the guard stands two ticks behind them.
         job.overdue = self.wheel.after(request.due - self.wheel.now() + 2 * self.settings.tick,
                                        self._overdue, job)
+        self.jobs[request.request] = job
         self.feed(request)
         return job
 
@@ -158,5 +169,3 @@
         if job.ticket is not None and self.ledger is not None:
             self.ledger.end(job.ticket)
         self.jobs.pop(job.id, None)
-        if not self.jobs:
-            self.idle.set()
--- a/larklb/grpc/front.py
+++ b/larklb/grpc/front.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import uuid
 from typing import Any
@@ -12,7 +11,7 @@
 from google.protobuf.duration_pb2 import Duration
 
 from larklb import interface as io
-from larklb.core import Core
+from larklb.core import Core, Job
 from larklb.fields import MalformedError, account, quota_info
 from larklb.grpc import ratelimit_pb2, rls_pb2
 
@@ -90,19 +89,19 @@
     async def _asked(self, questions: list[io.Request]) -> list[io.Action]:
         """The whole life of the questions of one call."""
         counters = self.core.counters
-        jobs = []
-        for q in questions:
-            counters.add(f"taken.grpc.{q.service}")
-            jobs.append(self.core.take(q))
+        jobs: list[Job] = []
         verdicts: list[io.Action] = []
         try:
+            for q in questions:
+                counters.add(f"taken.grpc.{q.service}")
+                jobs.append(self.core.take(q))
             for job in jobs:
                 verdict = await job.next()
                 if isinstance(verdict, io.Grant):
                     await self.core.count(job, verdict.stamp)
                 verdicts.append(verdict)
-        except asyncio.CancelledError:
-            # The caller has gone: what has no grant yet must not take any units.
+        except BaseException:
+            # The caller has gone, or we have failed: what has no grant yet must not take any units.
             for job in jobs[len(verdicts):]:
                 self.core.gone(job)
                 counters.add("answered.nobody")
--- a/larklb/net/front.py
+++ b/larklb/net/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import logging
 import re
@@ -275,22 +276,26 @@
         """The whole life of a job."""
         counters = self.core.counters
         counters.add(f"taken.http.{request.service}")
-        job = self.core.take(request)
-        link.reader.on_end = lambda: self.core.gone(job)
-        if link.reader.ended():
-            self.core.gone(job)
+        job = None
         try:
+            job = self.core.take(request)
+            link.reader.on_end = functools.partial(self.core.gone, job)
+            if link.reader.ended():
+                self.core.gone(job)
             answer, word = await self._decided(job, content)
         except Exception:
             # A failure of our own costs this job alone; what it had out is closed by the attempt itself.
-            log.exception("job %s failed", job.id)
+            log.exception("job %s failed", request.request)
             counters.add("errors.job")
-            self.core.gone(job)
+            if job is not None:
+                self.core.gone(job)
             answer, word = Answer(500), "failed"
         finally:
             link.reader.on_end = None
-            self.core.close(job)
-        counters.add("answered.nobody" if job.gone and word != "failed" else f"answered.{word}")
+            if job is not None:
+                self.core.close(job)
+        nobody = job is not None and job.gone and word != "failed"
+        counters.add("answered.nobody" if nobody else f"answered.{word}")
         return answer
 
     async def _decided(self, job: Job, content: Content) -> tuple[Answer, str]:
