Bound every table that grows with customers, by the memory that is configured

Seen: buckets, copies, slices, demand and shares age out once a bucket is full again. Where a plan fills slowly (2,047 units at 0.1 a second) that is hours, and each customer that ever came stays. limits.memory_mb was told and not used. Ruled out: counts (20,000 at most), leases, held and asks (by deadlines), owners (cleared), outboxes (cut). Change: quota/kept.py. The bound follows memory_mb; of buckets the fullest go, since a forgotten one begins full. Before: 401 buckets after 401 customers with a bound of 40; after: 40 at most, and the customer that had used its quota is still refused. A test measures the bytes of a customer against the figure that the bound goes by.

--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -19,6 +19,7 @@
 from larklb.quota.alone import COPY_FRESH_MS, NEW_MS, REPEAT_MS, Alone
 from larklb.quota.book import Book
 from larklb.quota.bucket import TokenBucket
+from larklb.quota.kept import thin
 from larklb.quota.ring import digest, members, ring_owner
 from larklb.records import Attempt, Held, Lease
 
@@ -239,6 +240,7 @@
 
     def _bucket(self, now: float, key: int, plan_number: int) -> TokenBucket:
         if key not in self.buckets:
+            thin(self.buckets, now, self.book.most)
             self.buckets[key] = (plan_number, self.book.made(now, key, plan_number))
         bucket = self.buckets[key][1]
         self.book.fit(now, key, plan_number, bucket)
--- a/larklb/desk.py
+++ b/larklb/desk.py
@@ -27,6 +27,7 @@
 from larklb.fields import MalformedError, account
 from larklb.quota import catalogue as cat
 from larklb.quota.book import Book
+from larklb.quota.kept import customers
 from larklb.quota.reservations import RefusedError, Reservation, Reservations, Shares, Wanted
 from larklb.quota.ring import digest, members, ring_owner
 from larklb.settings import Config, ConfigError, ExportEntry, InstanceEntry, LedgerEntry, Operator
@@ -115,7 +116,7 @@
                                             self.wall(), self.step)
         self.reservations = reservations
         self.book = Book(plans, catalogue, reservations, self.offset, settle=operator.quota.settle,
-                         reserve=operator.quota.reserve())
+                         reserve=operator.quota.reserve(), most=customers(config.memory_mb))
         if self.ledger is not None and operator.export is not None:
             self.exporter = ex.Exporter(self.ledger, counters, receiver_of(operator.export, base),
                                         operator.export.most_wait_s, config.seed)
--- a/larklb/quota/alone.py
+++ b/larklb/quota/alone.py
@@ -14,6 +14,7 @@
 from larklb.quota.apart import APART_MS, DEBT, FORGET_MS, SETTLE_MS, SLACK, Shares
 from larklb.quota.book import Book
 from larklb.quota.bucket import TokenBucket
+from larklb.quota.kept import make_room, thin
 from larklb.quota.settling import STEP, Confirmed, Count, Settling
 from larklb.records import Copy, Held
 
@@ -36,8 +37,8 @@
         self.s, self.book = settings, book
         self.on = book.settle and settings.can_tell and settings.gateways > 1
         self.began = now
-        self.shares = Shares(book.reserve)
-        # Clocks only advance, also over a restart: a later start has the greater incarnation.
+        self.shares = Shares(book.reserve, book.most)
+        # The clock advances over a restart: a later start has the greater incarnation, on the same machine.
         self.settling = Settling(int(now / 100.0) & 0xFFFFFFFF)
         self.copies: dict[int, Copy] = {}
         self.slices: dict[int, tuple[int, TokenBucket, float]] = {}      # plan named, bucket, last part
@@ -196,6 +197,7 @@
         """This limiter's share of a customer's quota as a bucket of its own."""
         part = max(LEAST_SHARE, self.shares.share(now, h.key, h.spread)) if self.on else 1.0 / h.spread
         if h.key not in self.slices:
+            thin(self.slices, now, self.book.most)
             bucket = self.book.made(now, h.key, h.told, 1.0 / part)
             left = self.left(now, h)
             if self.on and left is not None:
@@ -216,7 +218,8 @@
 
     def verdict(self, now: float, h: Held, v: pw.Verdict) -> None:
         """The owner's word mends the copy."""
-        known = self.copies.get(h.key)
+        known = self.copies.pop(h.key, None)
+        make_room(self.copies, self.book.most)
         refused = 0 if v.granted else 1 + (known.refused if known else 0)
         self.copies[h.key] = Copy(h.told, h.owner, v.left, v.open, now, refused, reserved=v.reserved)
         if v.share is not None and self.on:
--- a/larklb/quota/apart.py
+++ b/larklb/quota/apart.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass
 
 from larklb.quota.demand import SLOW_MS, Demand, moved
+from larklb.quota.kept import MOST, make_room
 
 APART_MS = 1200.0          # without a word from a limiter that has a share: it is taken to be apart
 SETTLE_MS = 1500.0         # after all are heard again counts may still come: then the escrow returns
@@ -51,9 +52,9 @@
 class Shares:
     """One limiter's view of demand and shares."""
 
-    def __init__(self, reserve: float) -> None:
-        """``reserve``: how far a share may grow beyond what was told, 0 to 1."""
-        self.reserve = reserve
+    def __init__(self, reserve: float, most: int = MOST) -> None:
+        """``reserve``: how far a share may grow beyond what was told, 0 to 1; ``most``: customers kept."""
+        self.reserve, self.most = reserve, most
         self.demand: dict[int, Demand] = {}                 # seen here, by customer
         self.asked: dict[int, dict[int, Asked]] = {}        # told by others, by customer and limiter
         self.told: dict[int, Told] = {}                     # by owners, by customer
@@ -64,6 +65,7 @@
         """A request came in here."""
         demand = self.demand.get(key)
         if demand is None:
+            make_room(self.demand, self.most)
             demand = self.demand[key] = Demand(now, now)
         demand.add(now, units)
 
@@ -75,6 +77,8 @@
 
     def heard(self, now: float, key: int, sender: int, demand: float) -> None:
         """A limiter asked, and told its demand."""
+        if key not in self.asked:
+            make_room(self.asked, self.most)
         others = self.asked.setdefault(key, {})
         known = others.get(sender)
         if known is None:
@@ -121,6 +125,8 @@
 
     def take(self, now: float, key: int, share: float, total: float) -> None:
         """What an owner told."""
+        self.told.pop(key, None)
+        make_room(self.told, self.most)
         self.told[key] = Told(share, total, now)
 
     def share(self, now: float, key: int, spread: int) -> float:
--- a/larklb/quota/book.py
+++ b/larklb/quota/book.py
@@ -8,6 +8,7 @@
 from larklb import peerwire as pw
 from larklb.quota.bucket import TokenBucket, fresh
 from larklb.quota.catalogue import Catalogue, plain
+from larklb.quota.kept import MOST
 from larklb.quota.reservations import LEAST, Reservation, Reservations
 from larklb.quota.ring import digest
 
@@ -32,9 +33,10 @@
 
     def __init__(self, plans: tuple[io.Plan, ...], catalogue: Catalogue | None = None,
                  reservations: Reservations | None = None, offset: float = 0.0, *,
-                 settle: bool = True, reserve: float = RESERVE) -> None:
-        """``settle``: what is let in without the owner is settled with it; ``reserve``: see ``apart.py``."""
-        self.settle, self.reserve = settle, reserve
+                 settle: bool = True, reserve: float = RESERVE, most: int = MOST) -> None:
+        """``settle``: what is let in without the owner is settled with it; ``reserve``: see ``apart.py``;
+        ``most``: customers that are kept in each table."""
+        self.settle, self.reserve, self.most = settle, reserve, most
         self.catalogue = catalogue or plain(plans)
         self.extended = catalogue is not None or reservations is not None     # peers are told more then
         self.reservations, self.offset = reservations, offset
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -22,6 +22,8 @@
 from larklb.net.execute import ExecuteNodes
 from larklb.net.front import Front
 from larklb.net.machines import Machines
+from larklb.quota.book import Book
+from larklb.quota.kept import customers
 from larklb.settings import Config, ConfigError, Operator, StoreEntry, load
 from larklb.upkeep import for_good
 from larklb.wheel import Wheel
@@ -50,7 +52,8 @@
     loop.add_signal_handler(signal.SIGUSR1, lambda: print(counters.as_json(), file=sys.stderr, flush=True))
     wheel = Wheel(config.settings.tick)
     desk = _desk(config, base, operator, counters, wheel) if operator is not None else None
-    core = Core(config.settings, config.seed, wheel, counters, desk.book if desk is not None else None)
+    book = desk.book if desk is not None else Book(config.settings.plans, most=customers(config.memory_mb))
+    core = Core(config.settings, config.seed, wheel, counters, book)
     core.ledger = desk.ledger if desk is not None else None
     core.start()
     store = await _store(config, store_entry, core) if store_entry is not None else None
--- a/larklb/settings.py
+++ b/larklb/settings.py
@@ -68,6 +68,7 @@
     settings: io.Settings
     dial_timeout: float
     conn_idle: float
+    memory_mb: int = 192
 
 
 def address(text: str) -> tuple[str, int]:
@@ -110,7 +111,8 @@
         discovery=address(env.get("EDGE_DISCOVERY") or raw.discovery), seed=seed,
         sockets=min(raw.limits.sockets, 1024), peers=peers,
         peer_listen=address(raw.peer_listen) if raw.peer_listen else None,
-        known=raw.known, settings=settings, dial_timeout=dial, conn_idle=idle)
+        known=raw.known, settings=settings, dial_timeout=dial, conn_idle=idle,
+        memory_mb=raw.limits.memory_mb)
 
 
 class StoreEntry(msgspec.Struct, forbid_unknown_fields=True):
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -6,6 +6,7 @@
 import errno
 import socket
 import sys
+import tracemalloc
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -21,6 +22,7 @@
 from larklb.net import execute, peers
 from larklb.net.front import Front, parse
 from larklb.net.machines import Machine, Machines
+from larklb.quota.kept import BYTES, customers
 from larklb.state.log import LogError, replay
 from larklb.upkeep import for_good
 from tests.conftest import Bed
@@ -120,6 +122,30 @@
     assert n >= 1
 
 
+def test_tables_that_grow_with_customers_have_a_bound_and_forget_the_fullest() -> None:
+    """Plans that fill slowly kept each customer that ever came, for hours: memory was the only bound."""
+    slow = io.Plan("slow", rate=0.001, burst=3.0)
+    b = Bed(gateways=2, plans=(slow,))
+    b.serve = 20.0
+    most = 40
+    for g in b.gateways.values():
+        g.book.most = g.alone.shares.most = most
+    for i in range(3):
+        b.ask(0, f"greedy{i}", plan="slow", customer="greedy", spread=1)
+    for i in range(400):
+        b.ask(i % 2, f"r{i}", plan="slow", customer=f"c{i}")
+        b.run(20.0)
+    for g in b.gateways.values():
+        shares = g.alone.shares
+        for table in (g.buckets, g.alone.copies, g.alone.slices, shares.demand, shares.asked, shares.told):
+            assert 0 <= len(table) <= most
+        assert len(g.buckets) > most / 2 and len(g.leases) < 420 and len(g.owners) < 420
+    b.ask(0, "more", plan="slow", customer="greedy", spread=1)
+    assert b.of(io.Refuse, "more")
+    b.run(9000.0)
+    assert not any(g.held or g.asks or g.leases for g in b.gateways.values())
+
+
 def test_a_judgement_outlasts_the_answers_it_comes_from_where_aims_are_long() -> None:
     """Its half-life of 4 s was fitted to aims of 1.5 s: with 30 s a slow node was forgiven at each answer."""
     for aim, expected in ((1000.0, 4000.0), (30000.0, 75000.0)):
@@ -131,6 +157,29 @@
         assert bad > 1.0 and server.faded(b.now + expected, ALL_WORK) - 1.0 == pytest.approx(bad / 2)
 
 
+def test_a_customer_takes_no_more_memory_than_is_planned_for() -> None:
+    b = Bed(gateways=2, plans=(io.Plan("slow", rate=0.001, burst=3.0),))
+    b.serve = 20.0
+
+    def ask_for(begin: int, end: int) -> None:
+        for i in range(begin, end):
+            b.ask(i % 2, f"r{i}", plan="slow", customer=f"c{i}")
+            b.run(5.0)
+        b.log.clear()
+        b.sent.clear()
+        b.run(9000.0)
+        b.log.clear()
+
+    ask_for(0, 100)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    ask_for(100, 1100)
+    each = (tracemalloc.get_traced_memory()[0] - before) / 1000
+    tracemalloc.stop()
+    assert 200 < each < BYTES
+    assert customers(192) * BYTES < 192e6 and customers(64) * BYTES < 64e6 and customers(0) > 0
+
+
 # Descriptors, and tasks that go on for good -------------------------------------------------
 
 
