Listen again to a limiter whose machine has started anew

Seen: an incarnation is the clock in tenths of a second, and that clock begins at a machine's start. After a reboot the number is smaller: peers took its counts and its word that it is fresh for old ones, for good. At fault: Settling.is_current. Change: a smaller number counts once nothing was heard of the greater one for 10 s; a message is late by seconds.

--- a/larklb/quota/alone.py
+++ b/larklb/quota/alone.py
@@ -123,7 +123,7 @@
     def fresh(self, now: float, sender: int, incarnation: int) -> bool:
         """A limiter has started: what was kept for its former self returns; whether it is to have copies."""
         was = self.settling.current.get(sender)
-        if not self.settling.is_current(sender, incarnation) or was == incarnation:
+        if not self.settling.is_current(now, sender, incarnation) or was == incarnation:
             return False
         if was is not None:
             for key in self.shares.forget(sender):
--- a/larklb/quota/settling.py
+++ b/larklb/quota/settling.py
@@ -18,6 +18,7 @@
 AGAIN_MS = 250.0           # between words on a count that is not confirmed
 FORGET_MS = 120_000.0      # a settled count with no news is forgotten by both sides
 MOST = 20_000              # counts kept by a limiter, of each kind: the longest settled go first
+ENDED_MS = 10_000.0        # without a word from an incarnation: it has ended, whatever number comes after it
 
 
 class Count(NamedTuple):
@@ -65,7 +66,8 @@
         self.mine: dict[int, Mine] = {}
         self.open: dict[int, dict[int, Mine]] = {}          # by owner and key: what is not yet confirmed
         self.known: dict[tuple[int, int], Known] = {}       # by sender and key
-        self.current: dict[int, int] = {}                   # the newest incarnation heard of, by sender
+        self.current: dict[int, int] = {}                   # the incarnation that counts, by sender, ...
+        self.heard_at: dict[int, float] = {}                # ... and when it was last heard of
 
     # As one who lets in -------------------------------------------------------------------
 
@@ -120,7 +122,7 @@
 
     def heard(self, now: float, sender: int, c: Count) -> float:
         """Units that were not known: to be taken from the bucket now."""
-        if not self.is_current(sender, c.incarnation):
+        if not self.is_current(now, sender, c.incarnation):
             return 0.0
         known = self.known.get((sender, c.key))
         if known is None or known.incarnation != c.incarnation:
@@ -135,10 +137,14 @@
         known.units, known.at = max(known.units, c.units), now
         return news
 
-    def is_current(self, sender: int, incarnation: int) -> bool:
-        """Whether a word comes from the newest incarnation of its sender that was heard of."""
-        self.current[sender] = max(incarnation, self.current.get(sender, incarnation))
-        return incarnation == self.current[sender]
+    def is_current(self, now: float, sender: int, incarnation: int) -> bool:
+        """Whether a word comes from the present incarnation of its sender: the newest, or the one that has
+        come after it had ended.  The number goes by a clock that a machine starts anew with itself."""
+        newest = self.current.get(sender, incarnation)
+        if incarnation < newest and now - self.heard_at.get(sender, now) <= ENDED_MS:
+            return False
+        self.current[sender], self.heard_at[sender] = incarnation, now
+        return True
 
     def confirms(self, sender: int, key: int) -> Confirmed | None:
         known = self.known.get((sender, key))
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -23,6 +23,7 @@
 from larklb.net.front import Front, parse
 from larklb.net.machines import Machine, Machines
 from larklb.quota.kept import BYTES, customers
+from larklb.quota.settling import ENDED_MS, Count, Settling
 from larklb.state.log import LogError, replay
 from larklb.upkeep import for_good
 from tests.conftest import Bed
@@ -180,6 +181,16 @@
     assert customers(192) * BYTES < 192e6 and customers(64) * BYTES < 64e6 and customers(0) > 0
 
 
+def test_a_machine_whose_clock_starts_anew_is_listened_to_again() -> None:
+    """Its numbers were smaller than its former self's: what it let in was never settled again."""
+    owner = Settling(1)
+    assert owner.heard(0.0, 3, Count(9, 0, 9_000_000, 4.0, 0.0)) == 4.0
+    assert owner.heard(500.0, 3, Count(9, 0, 70, 2.0, 0.0)) == 0.0, "a late word of the one before it"
+    at = 500.0 + ENDED_MS
+    assert owner.heard(at, 3, Count(9, 0, 70, 2.0, 0.0)) == 2.0
+    assert owner.heard(at, 3, Count(9, 0, 70, 3.0, 0.0)) == 1.0
+
+
 # Descriptors, and tasks that go on for good -------------------------------------------------
 
 
--- a/tests/test_settling.py
+++ b/tests/test_settling.py
@@ -106,7 +106,7 @@
 class ForgetsIncarnation(Settling):
     """A fault: takes a former incarnation's word for the present one's."""
 
-    def is_current(self, sender: int, incarnation: int) -> bool:
+    def is_current(self, now: float, sender: int, incarnation: int) -> bool:
         return True
 
 
