Keep the agent going where a process cannot be started or a renewal fails

Seen: OSError from starting a process (no descriptor, no process) ended the agent with an exception and left the other instances running without one. A renewal of an instance with a broken file was waited for for good: no SIGHUP did anything any more. An answer too long to a health check ended that instance's watch. 12 s to drain were this deployment's: with deadlines of 60 s an instance was killed at work. At fault: Agent._keep, _renew, _drain, healthy. Change: it is tried again with the usual pause; a renewal that is not ready within 30 s, or ends for its configuration, is told and those behind it stay; a drain lasts as long as the deadlines say.

--- a/larklb/agent.py
+++ b/larklb/agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
@@ -12,15 +13,16 @@
 
 import h11
 
-from larklb.net.http import dial
+from larklb.net.http import TooLongError, dial
 from larklb.settings import ConfigError, InstanceEntry, Operator, load
 
 log = logging.getLogger(__name__)
 
 BACKOFF_FIRST, BACKOFF_MOST = 0.2, 10.0     # s before a restart, doubled with each quick death
 STEADY = 30.0                               # s of life after which a death is no longer a quick one
-DRAIN = 12.0                                # s that an instance has to finish what it took
+DRAIN, DRAIN_MORE = 12.0, 5.0               # s that an instance has to finish what it took, past deadlines
 CHECK, CHECK_WITHIN = 2.0, 2.0              # s between health checks, and for one
+READY = 30.0                                # s for a renewed instance to answer
 HUNG = 5                                    # checks failed in a row: the instance is killed and started again
 BAD_CONFIG = 2                              # exit status of an instance whose configuration cannot be used
 
@@ -51,22 +53,27 @@
         stop = asyncio.ensure_future(self.stopping.wait())
         while True:
             began = loop.time()
-            process = self.running[entry.name] = await self._start(entry)
-            log.info("%s started as %d", entry.name, process.pid)
-            ended = asyncio.ensure_future(process.wait())
-            watch = asyncio.ensure_future(self._watch(entry, process))
-            await asyncio.wait((ended, stop), return_when=asyncio.FIRST_COMPLETED)
-            watch.cancel()
-            if not ended.done():
-                return await self._drain(entry, process)
-            status = ended.result()
-            renewed = entry.name in self.renewed
-            self.renewed.discard(entry.name)
-            if renewed:
-                continue
-            log.warning("%s ended with %d", entry.name, status)
-            if status == BAD_CONFIG:
-                return BAD_CONFIG                # starting it again would not mend its configuration
+            try:
+                process = self.running[entry.name] = await self._start(entry)
+            except OSError as error:
+                # No process, memory or descriptor is to be had: the others go on, this one is tried again.
+                log.error("%s could not be started: %s", entry.name, error)
+            else:
+                log.info("%s started as %d", entry.name, process.pid)
+                ended = asyncio.ensure_future(process.wait())
+                watch = asyncio.ensure_future(self._watch(entry, process))
+                await asyncio.wait((ended, stop), return_when=asyncio.FIRST_COMPLETED)
+                watch.cancel()
+                if not ended.done():
+                    return await self._drain(entry, process)
+                status = ended.result()
+                renewed = entry.name in self.renewed
+                self.renewed.discard(entry.name)
+                if renewed:
+                    continue
+                log.warning("%s ended with %d", entry.name, status)
+                if status == BAD_CONFIG:
+                    return BAD_CONFIG            # starting it again would not mend its configuration
             wait = BACKOFF_FIRST if loop.time() - began > STEADY else min(2 * wait, BACKOFF_MOST)
             await asyncio.wait((stop,), timeout=wait)
             if stop.done():
@@ -101,20 +108,42 @@
             await self.renew.wait()
             self.renew.clear()
             for entry in self.operator.instance:
-                process = self.running[entry.name]
-                if process.returncode is not None or self.stopping.is_set():
+                process = self.running.get(entry.name)
+                if process is None or process.returncode is not None or self.stopping.is_set():
                     continue
                 self.renewed.add(entry.name)
                 await self._drain(entry, process)
-                host, port = load(self._environment(entry)).listen
-                while not await healthy(host, port) and not self.stopping.is_set():
-                    await asyncio.sleep(0.1)
+                if not await self._ready(entry, process):
+                    log.error("%s is not ready after its renewal: those behind it stay as they are",
+                              entry.name)
+                    break
+
+    async def _ready(self, entry: InstanceEntry, before: Process) -> bool:
+        """Whether an instance that takes the place of ``before`` comes to answer."""
+        until = asyncio.get_running_loop().time() + READY
+        while asyncio.get_running_loop().time() < until and not self.stopping.is_set():
+            process = self.running.get(entry.name, before)
+            if process is not before and process.returncode == BAD_CONFIG:
+                return False
+            with contextlib.suppress(ConfigError):       # the instance itself says so and ends
+                if await healthy(*load(self._environment(entry)).listen):
+                    return True
+            await asyncio.sleep(0.1)
+        return False
+
+    def _patience(self, entry: InstanceEntry) -> float:
+        """Seconds that an instance may need to answer what it has taken."""
+        try:
+            deadlines = [c.deadline for c in load(self._environment(entry)).settings.classes]
+        except ConfigError:
+            return DRAIN
+        return max(DRAIN, max(deadlines) / 1000.0 + DRAIN_MORE)
 
     async def _drain(self, entry: InstanceEntry, process: Process) -> int:
         ended = asyncio.ensure_future(process.wait())
         if process.returncode is None:
             process.send_signal(signal.SIGTERM)
-        await asyncio.wait((ended,), timeout=DRAIN)
+        await asyncio.wait((ended,), timeout=self._patience(entry))
         if not ended.done():
             log.error("%s did not drain and is killed", entry.name)
             process.kill()
@@ -132,7 +161,7 @@
                 got = await link.read()
             finally:
                 link.abort()
-    except (OSError, h11.RemoteProtocolError):
+    except (OSError, h11.RemoteProtocolError, TooLongError):
         return False
     return got is not None and got[0].status_code == 200
 
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import errno
+import os
+import signal
 import socket
 import sys
 import tracemalloc
@@ -14,7 +16,9 @@
 import h11
 import pytest
 
+from larklb import agent as agent_module
 from larklb import interface as io
+from larklb.agent import Agent
 from larklb.core import Core
 from larklb.decide import ALL_WORK
 from larklb.grpc.front import RateLimitFront
@@ -24,10 +28,11 @@
 from larklb.net.machines import Machine, Machines
 from larklb.quota.kept import BYTES, customers
 from larklb.quota.settling import ENDED_MS, Count, Settling
+from larklb.settings import InstanceEntry, Operator
 from larklb.state.log import LogError, replay
 from larklb.upkeep import for_good
 from tests.conftest import Bed
-from tests.standins import Discovery, Yard, ask, free_port, http, job
+from tests.standins import ROOT, Discovery, Yard, ask, free_port, http, job
 from tests.test_core import core_with
 
 
@@ -367,3 +372,77 @@
         assert desk.held.fd == -1 and core.counters["errors.reserved"] == 1
     asyncio.run(go())
     assert replay(tmp_path / "var" / "n0" / "reservations" / "reservations.log").torn == 0
+
+
+# The agent -----------------------------------------------------------------------------------
+
+
+def test_an_agent_that_can_start_no_process_tries_again_and_leaves_the_others_alone(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It ended with an exception, and left its other instances running without an agent."""
+    class Ended:
+        pid, returncode = 1, agent_module.BAD_CONFIG
+
+        async def wait(self) -> int:
+            return self.returncode
+
+    started: list[object] = []
+
+    async def start(*command: str, env: dict[str, str]) -> Any:
+        started.append(command)
+        if len(started) < 3:
+            raise OSError(errno.EAGAIN, "no process to be had")
+        return Ended()
+
+    async def go() -> None:
+        monkeypatch.setattr(asyncio, "create_subprocess_exec", start)
+        monkeypatch.setattr(agent_module, "BACKOFF_FIRST", 0.01)
+        entry = InstanceEntry("n0", "n0.json")
+        agent = Agent(tmp_path / "operator.toml", Operator([entry]))
+        assert await asyncio.wait_for(agent._keep(entry), 5) == agent_module.BAD_CONFIG and len(started) == 3
+    asyncio.run(go())
+
+
+def test_an_instance_has_as_long_to_finish_as_its_deadlines_say(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Twelve seconds were one deployment's: an instance with longer deadlines was killed at work."""
+    yard, entry = Yard(tmp_path, limiters=1), InstanceEntry("n0", "n0.json")
+    agent = Agent(tmp_path / "operator.toml", Operator([entry]))
+    yard.limiters[0].config()
+    assert agent._patience(entry) == agent_module.DRAIN
+    monkeypatch.setattr(lab_yard, "CLASSES", [{**c, "deadline": 60000.0} for c in lab_yard.CLASSES])
+    yard.limiters[0].config()
+    assert agent._patience(entry) > 60.0
+
+
+def test_a_renewal_that_fails_is_told_and_the_next_one_goes_on(tmp_path: Path) -> None:
+    """The agent waited for the broken instance for good: no SIGHUP did anything any more."""
+    async def go() -> None:
+        yard = Yard(tmp_path, limiters=2)
+        await yard.discovery.start()
+        for limiter in yard.limiters:
+            limiter.config()
+        agent = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "larklb", "agent", str(yard.operator()),
+            env={**os.environ, "PYTHONPATH": str(ROOT)}, stderr=asyncio.subprocess.PIPE)
+        assert agent.stderr is not None
+
+        async def until(word: bytes, never: bytes) -> None:
+            assert agent.stderr is not None
+            while word not in (line := await asyncio.wait_for(agent.stderr.readline(), 20)):
+                assert line and never not in line
+
+        try:
+            for limiter in yard.limiters:
+                await limiter.ready()
+            (tmp_path / "n0.json").write_text("{}")
+            agent.send_signal(signal.SIGHUP)
+            await until(b"n0 is not ready after its renewal", never=b"n1 drained")
+            await yard.limiters[1].ready()
+            agent.send_signal(signal.SIGHUP)
+            await until(b"n1 started as", never=b"n0 drained")
+            await yard.limiters[1].ready()
+        finally:
+            agent.send_signal(signal.SIGTERM)
+            await asyncio.wait_for(agent.communicate(), 30)
+    asyncio.run(go())
