Go by the descriptors that the system allows where that is fewer than configured

Seen: shares of 1,024 configured descriptors where the system allows 80: accept, dials and the watch ran into EMFILE. Change: the limit is raised as far as the system lets us; where it does not, that is told and the shares follow. Test: the real program with 80 descriptors, a crowd of 150, 60 jobs at once, and gone: what is taken is answered, and listener, watch and a new draining list work again; exit 0.

--- a/larklb/lab/yard.py
+++ b/larklb/lab/yard.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -162,6 +163,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.errors = b""
         self.environment: dict[str, str] = {}
+        self.descriptors = 0                  # that the system allows it; 0: as many as us
 
     def config(self) -> Path:
         bed = self.bed
@@ -175,8 +177,11 @@
         env = {**os.environ, "EDGE_CONFIG": str(self.config()), "PYTHONPATH": str(ROOT),
                **self.bed.environment, **self.environment}
         more = ["--operator", str(self.bed.operator())] if self.bed.second_front else []
+        few = (lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors,) * 2)
+               ) if self.descriptors else None
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "larklb", "serve", *more, env=env, stderr=asyncio.subprocess.PIPE)
+            sys.executable, "-m", "larklb", "serve", *more, env=env, stderr=asyncio.subprocess.PIPE,
+            preexec_fn=few)
         await self.ready()
 
     async def ready(self, within: float = 30.0) -> None:
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -8,6 +8,7 @@
 import gc
 import logging
 import os
+import resource
 import signal
 import sys
 from collections.abc import Awaitable
@@ -108,7 +109,8 @@
         return None
     counters.add("reloaded")
     log.info("reloaded: discovery at %s:%d", *renewed.discovery)
-    same = msgspec.structs.replace(renewed, discovery=config.discovery, known=config.known, seed=config.seed)
+    same = msgspec.structs.replace(renewed, discovery=config.discovery, known=config.known, seed=config.seed,
+                                   sockets=descriptors(renewed.sockets))
     if same != config:
         log.warning("what else has changed in the configuration takes effect at a restart")
     return renewed
@@ -161,10 +163,23 @@
         log.error("a background task has failed", exc_info=task.exception())
 
 
+def descriptors(wanted: int) -> int:
+    """How many this process may hold: as many as are configured, where the system allows it."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        soft = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        if soft < wanted:
+            log.warning("%d descriptors are configured, and the system allows %d", wanted, soft)
+        return soft
+    return wanted
+
+
 def run(config: Config, operator: Operator | None = None, base: Path = Path()) -> None:
     """Until SIGTERM; ``base`` is the folder of the operator's file."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format=f"{config.name} %(levelname)s %(message)s")
+    config = msgspec.structs.replace(config, sockets=descriptors(config.sockets))
     try:
         asyncio.run(_run(config, operator, base))
     except (StartError, ConfigError) as error:
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import os
+import resource
 import signal
 import socket
 import sys
@@ -32,7 +33,7 @@
 from larklb.state.log import LogError, replay
 from larklb.upkeep import for_good
 from tests.conftest import Bed
-from tests.standins import ROOT, Discovery, Yard, ask, free_port, http, job
+from tests.standins import ROOT, Discovery, Yard, ask, free_port, http, job, served
 from tests.test_core import core_with
 
 
@@ -328,6 +329,42 @@
     asyncio.run(go())
 
 
+def test_with_few_descriptors_what_is_taken_is_answered_and_all_works_again(tmp_path: Path) -> None:
+    """The system allows fewer than are configured: a crowd takes all of them, and goes."""
+    async def go() -> None:
+        async with Yard(tmp_path, nodes=2) as yard:
+            limiter = yard.limiters[0]
+            await limiter.stop()
+            limiter.descriptors = 80
+            await limiter.start()
+            assert limiter.process is not None
+            pid = limiter.process.pid
+            assert resource.prlimit(pid, resource.RLIMIT_NOFILE)[0] == 80
+
+            async def slow(headers: dict[str, str], body: bytes) -> bytes:
+                await asyncio.sleep(0.3)
+                return await served(headers, body)
+
+            for node in yard.nodes:
+                node.reply = slow
+            crowd = [await asyncio.open_connection("127.0.0.1", limiter.port) for _ in range(150)]
+            jobs = [asyncio.ensure_future(ask(limiter.port, job())) for _ in range(60)]
+            ends = await asyncio.gather(*jobs, return_exceptions=True)
+            answered = [e[0] for e in ends if isinstance(e, tuple)]
+            assert set(answered) <= {200, 502, 503} and answered.count(200) >= 10
+            for _, writer in crowd:
+                writer.close()
+            yard.discovery.cut()
+            yard.discovery.tell(2, yard.nodes[0].entry("draining"))
+            await asyncio.sleep(2.5)
+            yard.nodes[0].seen.clear()
+            for _ in range(8):
+                assert (await ask(limiter.port, job()))[0] == 200
+            assert not yard.nodes[0].seen and len(os.listdir(f"/proc/{pid}/fd")) < 80
+            assert await limiter.stop() == 0
+    asyncio.run(go())
+
+
 def test_an_answer_in_pieces_has_time_where_aims_are_long(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Half a second for the rest of an answer was one deployment's; its aims are 1.5 s."""
