Close strangers at the gRPC address after 3 s

Seen: a connection that says nothing kept its descriptor for two minutes, gRPC's own figure, an idle one for good; the other front shares the descriptors. Change: 3 s for the first frame, 60 s without a call. gRPC offers no bound on the number of connections: that stays open. Before: 40 of 40 still there after 10 s; after: 0.

--- a/larklb/grpc/front.py
+++ b/larklb/grpc/front.py
@@ -21,6 +21,8 @@
 MOST_DESCRIPTORS = 16
 MOST_MESSAGE = 64 * 1024
 MOST_CALLS = 512           # at once; beyond them gRPC answers RESOURCE_EXHAUSTED
+HANDSHAKE_MS = 3000        # for a connection's first frame: who says nothing must not keep a descriptor
+IDLE_MS = 60_000           # without a call after which a connection is told to go; clients connect again
 _KEYS = {"account", "plan", "class", "set"}
 Response = rls_pb2.RateLimitResponse
 
@@ -49,7 +51,8 @@
     def __init__(self, listen: str, core: Core) -> None:
         self.core, self.stopping = core, False
         self.server = grpc.aio.server(maximum_concurrent_rpcs=MOST_CALLS, options=(
-            ("grpc.max_receive_message_length", MOST_MESSAGE), ("grpc.so_reuseport", 0)))
+            ("grpc.max_receive_message_length", MOST_MESSAGE), ("grpc.so_reuseport", 0),
+            ("grpc.server_handshake_timeout_ms", HANDSHAKE_MS), ("grpc.max_connection_idle_ms", IDLE_MS)))
         handler = grpc.unary_unary_rpc_method_handler(
             self.should_rate_limit, request_deserializer=rls_pb2.RateLimitRequest.FromString,
             response_serializer=Response.SerializeToString)
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -365,6 +365,20 @@
     asyncio.run(go())
 
 
+def test_strangers_at_the_grpc_address_are_closed_too(tmp_path: Path) -> None:
+    """They kept their descriptors for two minutes, and left none to the other front."""
+    async def go() -> None:
+        async with Yard(tmp_path, second_front=True) as yard:
+            silent = [await asyncio.open_connection("127.0.0.1", yard.limiters[0].grpc_port)
+                      for _ in range(40)]
+
+            async def ended(reader: asyncio.StreamReader) -> None:
+                while await reader.read(4096):
+                    pass
+            await asyncio.wait_for(asyncio.gather(*(ended(reader) for reader, _ in silent)), 10)
+    asyncio.run(go())
+
+
 def test_an_answer_in_pieces_has_time_where_aims_are_long(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """Half a second for the rest of an answer was one deployment's; its aims are 1.5 s."""
