--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -16,7 +16,7 @@
 
 from larklb import interface as io
 from larklb import peerwire as pw
-from larklb.quota.alone import COPY_FRESH_MS, NEW_MS, REPEAT_MS, Alone
+from larklb.quota.alone import COPY_FRESH_MS, NEW_MS, QUIET_MS, REPEAT_MS, Alone
 from larklb.quota.book import Book
 from larklb.quota.bucket import TokenBucket
 from larklb.quota.kept import thin
@@ -25,7 +25,7 @@
 
 BREAKER_FAILURES = 3       # asks failed in a row that open a breaker (design)
 BREAKER_OPEN_MS = 30000.0  # how long it stays open (design) ...
-KNOCK_AIM = 0.3            # parts of the least aim between words to an owner whose breaker is open
+KNOCK_AIM = 0.3            # parts of the least aim between words to who is not heard, QUIET_MS at the most
 BREAKER_JITTER = 0.2       # ... and up to this much longer, so that trials do not come together (design)
 RESEND_AIM = 0.1           # an unanswered ask goes out again after this part of the aim ...
 ASKS = 3                   # so often in all ...
@@ -423,7 +423,7 @@
 
     def _knock(self, now: float, peer: int) -> None:
         """A word to a peer not heard of: any closes a breaker, which else outlasts a cut by its 30 s."""
-        if now - self.load_at.get(peer, -math.inf) >= self.aim * KNOCK_AIM:
+        if now - self.load_at.get(peer, -math.inf) >= min(self.aim * KNOCK_AIM, QUIET_MS):
             self.load_at[peer] = now
             out = tuple((s.short, len(s.attempts)) for s in self.up if s.attempts)
             self._tell(peer, pw.Loads(out[:pw.most_loads(pw.MOST_BYTES - 1)]))
