Count timers whose work failed

A failed timer was told in the log alone; Wheel.failures was read by a test and by nobody else. Now errors.timer counts it among the counters that operators read.

--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -51,7 +51,7 @@
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, lambda: print(counters.as_json(), file=sys.stderr, flush=True))
-    wheel = Wheel(config.settings.tick)
+    wheel = Wheel(config.settings.tick, functools.partial(counters.add, "errors.timer"))
     desk = _desk(config, base, operator, counters, wheel) if operator is not None else None
     book = desk.book if desk is not None else Book(config.settings.plans, most=customers(config.memory_mb))
     core = Core(config.settings, config.seed, wheel, counters, book)
--- a/larklb/wheel.py
+++ b/larklb/wheel.py
@@ -28,13 +28,14 @@
 class Wheel:
     """The program's one clock, in monotonic milliseconds, and its timers; they fire late, never early."""
 
-    def __init__(self, tick: float) -> None:
+    def __init__(self, tick: float, failed: Callable[[], object] = bool) -> None:
+        """``failed`` is called for each timer whose work failed: who counts is to hear of it."""
+        self.failed = failed
         self.loop = asyncio.get_running_loop()
         self.tick = max(1.0, tick)
         self.slots: dict[int, list[Timer]] = {}
         self.order: list[int] = []               # a heap of the slots in use
         self.armed: tuple[int, asyncio.TimerHandle] | None = None
-        self.failures = 0
 
     def now(self) -> float:
         return self.loop.time() * 1000.0
@@ -77,7 +78,7 @@
                     timer.act(*timer.args)
                 except Exception:
                     # One timer's failure must not take the others of its tick with it.
-                    self.failures += 1
+                    self.failed()
                     log.exception("a timer failed")
         if self.order:
             self._arm()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -22,7 +22,8 @@
 
 def test_the_wheel_fires_in_order_and_never_early_and_survives_a_failure() -> None:
     async def go() -> None:
-        wheel = Wheel(4.0)
+        failures: list[int] = []
+        wheel = Wheel(4.0, lambda: failures.append(1))
         fired: list[tuple[Any, float]] = []
         began = wheel.now()
         for delay in (30.0, 10.0, 20.0):
@@ -31,7 +32,7 @@
         wheel.after(1.0, fired.append, ("cancelled", 0.0)).cancel()
         await wheel.sleep(60.0)
         assert [f[0] for f in fired] == [10.0, 20.0, 30.0] and min(f[1] for f in fired) > -0.5
-        assert wheel.failures == 1
+        assert failures == [1]
     asyncio.run(go())
 
 
