--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import gc
 import os
 import resource
 import signal
@@ -19,6 +20,8 @@
 
 from larklb import agent as agent_module
 from larklb import interface as io
+from larklb import peerwire as pw
+from larklb import serve
 from larklb.agent import Agent
 from larklb.core import Core
 from larklb.decide import ALL_WORK
@@ -29,11 +32,10 @@
 from larklb.net.machines import Machine, Machines
 from larklb.quota.kept import BYTES, customers
 from larklb.quota.settling import ENDED_MS, Count, Settling
-from larklb.settings import InstanceEntry, Operator
+from larklb.settings import InstanceEntry, Operator, load
 from larklb.state.log import LogError, replay
-from larklb.upkeep import for_good
 from tests.conftest import Bed
-from tests.standins import ROOT, Discovery, Yard, ask, free_port, http, job, served
+from tests.standins import ROOT, Yard, ask, free_port, http, job, served
 from tests.test_core import core_with
 
 
@@ -255,24 +257,33 @@
     asyncio.run(go())
 
 
-def test_the_watch_goes_on_after_a_failure_that_nobody_foresaw() -> None:
-    """It ended, with a line in the log: jobs went to nodes that had long been gone."""
+def test_the_watch_goes_on_after_a_failure_that_nobody_foresaw(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It ended, with a line in the log: jobs went to nodes long gone, and the stop ended with 1."""
+    monkeypatch.setattr(Machines, "apply", Once(Machines.apply, 1))       # the first one is what it recalls
+
     async def go() -> None:
-        discovery = Discovery()
-        await discovery.start()
-        core = core_with()
-        config: Any = type("C", (), {"discovery": ("127.0.0.1", discovery.port), "known": None})()
-        machines = Machines(config, core)
-        machines.apply = Once(machines.apply)      # type: ignore[method-assign]
-        watch = asyncio.ensure_future(for_good("watch", machines.watch, core.counters, pause=0.05))
-        discovery.tell(2, {"instanceId": "s", "hostPort": "127.0.0.1:9", "lifecycle": "up"})
+        yard = Yard(tmp_path)
+        await yard.discovery.start()
+        for node in yard.nodes:
+            await node.start()
+        limiter = yard.limiters[0]
+        config = load({"EDGE_CONFIG": str(limiter.config())})
+        program = asyncio.ensure_future(serve._run(config, None, tmp_path))
+        await limiter.ready()
+        yard.discovery.tell(2, yard.nodes[0].entry("draining"))
         for _ in range(100):
-            await asyncio.sleep(0.02)
-            if machines.of:
+            await asyncio.sleep(0.05)
+            if (counts := await limiter.counters()).get("list.changes"):
                 break
-        assert set(machines.of) == {"s"} and core.counters["errors.watch"] == 1
-        watch.cancel()
-    asyncio.run(go())
+        assert counts["errors.watch"] == 1 and counts["list.changes"] == 1
+        os.kill(os.getpid(), signal.SIGTERM)
+        await asyncio.wait_for(program, 10)
+    try:
+        asyncio.run(go())
+    finally:
+        gc.unfreeze()
+        gc.set_threshold(700, 10, 10)
 
 
 def test_a_job_that_cannot_be_taken_is_told_so() -> None:
@@ -327,6 +338,12 @@
         request, _ = parse(head, b"", 1000.0, core)
         assert request.due == 1000.0 + core.classes["read"].deadline
     asyncio.run(go())
+    b = Bed(gateways=2)
+    ask_of_an_older_program = pw.pack_item(pw.Ask(7, 9, 0, 1.0, 600000.0))
+    b.give(0, io.PeerMessage(1, bytes([pw.VERSION]) + ask_of_an_older_program))
+    assert len(b.gateways[0].leases) == 1
+    b.run(9000.0)
+    assert not b.gateways[0].leases
 
 
 def test_with_few_descriptors_what_is_taken_is_answered_and_all_works_again(tmp_path: Path) -> None:
@@ -407,7 +424,7 @@
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """The reservations' last sync failed, and with it the stop: exit 1, counters not told."""
     from larklb.desk import Desk
-    from larklb.settings import load, load_operator
+    from larklb.settings import load_operator
     yard = Yard(tmp_path, more='[state]\nfolder = "var"\n[reservations]\n')
     config = load({"EDGE_CONFIG": str(yard.limiters[0].config())})
     operator = load_operator(yard.operator())
