--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -638,7 +638,7 @@
     def _best(self, now: float, h: Held, among: list[Server]) -> Server | None:
         """The server that looks quickest, of those that may take the request and have room."""
         usual, up, median = self.usual[h.cls.name], self.up, self._median(now, h)
-        ran, topics = h.ran(), self._topics(h)
+        ran, topics, tried = h.ran(), self._topics(h), [a.server for a in h.attempts]
         seen, best, best_score = self._seen(now), None, (math.inf, 0)
         for s in among:
             warmth = self._warmth(s, now)
@@ -653,6 +653,7 @@
             if slow >= SUSPECT and (s.attempts or now - s.judged(topics) < s.forgive * TRIAL_PART):
                 continue
             score = (n + 1) / (size if among is up else 1.0) * slow     # a draw has weighed the size
+            score *= WORST if s in tried else 1.0
             if self.s.zone and s.entry.zone != self.s.zone:
                 score *= 1 + 10 * self.s.cross_zone_charge
             if (score, s.order) < best_score:      # each gateway has an order of its own
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -357,3 +357,17 @@
     b.ask(far, "next", plan="open")
     b.run(300.0)
     assert lost[0] > 1 and b.of(io.Send, "next")
+
+
+def test_after_a_reset_a_server_that_was_tried_comes_last() -> None:
+    """A reset makes no suspect: where the others have work, the next attempt went to the same one again."""
+    b = Bed(servers=3)
+    for i in range(6):
+        b.ask(0, f"w{i}", plan="free")
+    first, *others = b.of(io.Send)
+    for send in others:
+        if send.server == first.server:
+            b.end(0, send.request)
+    b.end(0, first.request, io.Result.RESET)
+    sends = b.of(io.Send, first.request)
+    assert len(sends) == 2 and sends[1].server != first.server
