--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -310,6 +310,8 @@
     """It stayed open and told nothing more: drains were heard of never."""
     async def go() -> None:
         async with Yard(tmp_path) as yard:
+            while not yard.discovery.asked:          # a watch that comes later is told at once
+                await asyncio.sleep(0.01)
             yard.discovery.deaf = True
             yard.discovery.tell(4, yard.nodes[0].entry("draining"))
             for _ in range(100):
