--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -233,6 +233,37 @@
     asyncio.run(go())
 
 
+@pytest.mark.xfail(strict=True, reason="F27: 20 ms are one site's round trip; nothing measures it yet")
+def test_a_connection_found_closed_at_a_far_node_blames_nobody(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def go() -> None:
+        core = core_with()
+        nodes = nodes_of(core, s=Machine(("127.0.0.1", 1)))
+        link: Any = type("L", (), {"since": core.wheel.now() - 500.0, "write": lambda *a: None,
+                                   "abort": lambda self: None, "reader": type("R", (), {"on_end": None})()})()
+
+        async def broken(*_: Any) -> execute.Ended:
+            return execute.Ended(io.Result.RESET, 45.0)
+
+        monkeypatch.setattr(nodes, "_pooled", lambda place: link)
+        monkeypatch.setattr(nodes, "_answer", broken)
+        taken = core.take(io.Request("r", "read", "free", "c", core.wheel.now() + 3000.0))
+        ended = await nodes.attempt(taken, io.Send("r", "s"), execute.Content(b"GET", b"/read", (), b""))
+        assert ended.result is io.Result.RESET
+        assert ended.stale
+    asyncio.run(go())
+
+
+@pytest.mark.xfail(strict=True, reason="F28: a ceiling is not held on its own account; no plan here has one")
+def test_a_ceiling_holds_while_limiters_cannot_hear_each_other() -> None:
+    plan = io.Plan("rate", rate=0.001, burst=4.0, ceiling_rate=0.001, ceiling_burst=4.0)
+    b = Bed(gateways=2, plans=(plan,))
+    b.cut = True
+    for i in range(12):
+        b.ask(i % 2, f"r{i}")
+        b.run(400.0)
+    assert len(b.of(io.Send)) <= 4
+
+
 def test_the_socket_between_limiters_is_opened_again() -> None:
     """After one failure to read from it a limiter was apart from all others until its restart."""
     async def go() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -216,9 +216,6 @@
         self._list(i, old, io.ListKind.RECALLED)
         self._list(i, list(self.nodes.values()))
 
-    def begin(self, i: int) -> None:
-        super().begin(i)
-
     def resize(self) -> None:
         """Another list of limiters: all are started anew under it, one after the other."""
         usual = self.size.gateways
