Answer at a second address: READY, STATS, DRAIN, UNDRAIN; figures counted where they happen

An answer counts when its last byte has gone out and an attempt when it was written whole; before, both counted at the decision, and a job left `active` before its answer was written. Idle connections are looked at in the socket before they are closed, so that a request on its way is not closed on.

Several test failures under parallel runs were two test processes drawing the same ports (7 apart for neighbouring process ids), not the program: free_port draws 1009 apart now.

`errors.reload` and `reloaded` are now `config.rejected` and `config.applied`.

--- a/larklb/lab/yard.py
+++ b/larklb/lab/yard.py
@@ -28,7 +28,7 @@
 _numbers: Iterator[int] = iter(range(1, 1 << 30))       # ids, keys and seeds: no two starts share a seed
 
 
-_ports: Iterator[int] = iter(range(16000 + os.getpid() * 7 % 8000, 32000))
+_ports: Iterator[int] = iter(range(16000 + os.getpid() * 1009 % 14000, 32000))
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
--- a/larklb/net/execute.py
+++ b/larklb/net/execute.py
@@ -6,7 +6,7 @@
 import errno
 import logging
 from collections import defaultdict
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 import h11
 
@@ -16,9 +16,6 @@
 from larklb.net.machines import Machines
 from larklb.settings import Config
 
-if TYPE_CHECKING:
-    from larklb.export.ledger import Ticket
-
 log = logging.getLogger(__name__)
 
 IDLE_PART = 0.4          # of the nodes' own idle limit: a request must not cross the node's close
@@ -191,8 +188,7 @@
             link.write(h11.Request(method=content.method, target=content.target, headers=[
                 (b"Host", b"service.internal"), *content.headers, (b"X-Time-Left", b"%.3f" % wait)]),
                 content.body)
-            self.core.counters.add("sent")
-            ended = await self._answer(link, attempt, started, job.ticket)
+            ended = await self._answer(link, attempt, started, job)
             if rest is not None and ended.result in (io.Result.OK, io.Result.RESET) and not ended.spoilt:
                 stale = ended.result is io.Result.RESET and ended.took < STALE_WITHIN
                 self._learn_fresh(rest, stale)
@@ -209,13 +205,15 @@
             if link is not None and not kept:
                 self._end(link)
 
-    async def _answer(self, link: Link, attempt: _Attempt, started: float, ticket: Ticket | None) -> Ended:
+    async def _answer(self, link: Link, attempt: _Attempt, started: float, job: Job) -> Ended:
         unsent, got, rest = True, None, []
         try:
             await link.writer.drain()            # returns once the last byte has left
             unsent = False
-            if ticket is not None:
-                ticket.whole = True
+            self.core.counters.add("sent")
+            self.core.counters.add(f"sent.{job.request.service}")
+            if job.ticket is not None:
+                job.ticket.whole = True
             got = await link.read(begun=lambda: rest.append(
                 self.wheel.after(self.rest, attempt.spoil, "it does not end")))
         except OSError:
--- a/larklb/net/front.py
+++ b/larklb/net/front.py
@@ -15,8 +15,10 @@
 from larklb import interface as io
 from larklb.core import Core, Job
 from larklb.fields import MalformedError, account, decimal, quota_info
+from larklb.net.console import MOST_AT_ONCE
 from larklb.net.execute import Content, Ended, ExecuteNodes
 from larklb.net.http import MOST_BODY, Link, TooLongError, WatchedReader
+from larklb.phase import Phase
 from larklb.settings import Config
 
 log = logging.getLogger(__name__)
@@ -96,16 +98,16 @@
 class Front:
     """Listens for submitters."""
 
-    def __init__(self, config: Config, core: Core, nodes: ExecuteNodes) -> None:
+    def __init__(self, config: Config, core: Core, nodes: ExecuteNodes, phase: Phase) -> None:
         self.config, self.core, self.nodes, self.wheel = config, core, nodes, core.wheel
-        self.most = int(config.sockets * SOCKETS_PART)
+        self.phase = phase
+        self.most = int(config.sockets * SOCKETS_PART) - (MOST_AT_ONCE if config.admin is not None else 0)
         self.kept = int(config.sockets * KEPT_PART)
         self.links: dict[Link, None] = {}      # that count: a closed one's task may still be on its way out
         self.strangers: dict[Link, None] = {}  # of these, those with no message yet, the oldest first ...
         self.idle: dict[Link, None] = {}       # ... and those that wait for another, the longest idle first
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
-        self.stopping = False
         self._sweep()
 
     async def start(self) -> None:
@@ -128,7 +130,7 @@
 
     async def stop(self) -> None:
         """Takes what still arrives for a while, then ends what is idle and finishes all that was taken."""
-        self.stopping = True
+        self.phase.move("stop", self.wheel.now())
         self._close_idle()
         await self.wheel.sleep(LINGER)
         if self.server is not None:
@@ -139,13 +141,15 @@
 
     def _close_idle(self) -> None:
         for link in self.links:
-            if not link.busy and not link.more():
+            if not link.busy and link.silent():
                 link.writer.close()
 
     def _sweep(self) -> None:
         """What says nothing, or hangs in the middle of a message, must not hold a descriptor for good."""
         self.wheel.after(SWEEP, self._sweep)      # first: a sweep that fails must not be the last
         now = self.wheel.now()
+        if self.phase.lets_go(now):
+            self._close_idle()
         for link in list(self.links):
             if link.busy:
                 continue
@@ -208,7 +212,7 @@
     async def _message(self, link: Link) -> bool:
         """One message and its answer; whether the connection can carry another."""
         link.busy = False
-        if self.stopping and self.server is not None and not self.server.is_serving():
+        if self.server is not None and not self.server.is_serving():
             return False
         try:
             got = await link.read()
@@ -218,24 +222,29 @@
             if link.more():
                 # One request at a time: what comes behind one may be another's, hidden, or a flood.
                 raise h11.RemoteProtocolError("a request came before the answer to another", 400)
-            answer = await self._answer(link, *got)
+            return await self._answer(link, *got)
         except TooLongError:
             answer = Answer(413, close=True)
         except h11.RemoteProtocolError as error:
             if link.reader.ended():
                 return False
             answer = Answer(error.error_status_hint, str(error).encode(), close=True)
+        self._taken_up(link)
+        return await self._reply(link, answer)
+
+    async def _reply(self, link: Link, answer: Answer) -> bool:
+        """Writes an answer to its last byte; whether the connection can carry another message."""
         if answer.status in (400, 409, 413):
             self.core.counters.add("malformed")
-        self._taken_up(link)
+        close = answer.close or self.phase.leaving
         if link.new and len(self.idle) >= self.kept:
             # Many ask once and stay.  They may hold so many connections and no more: then nobody can ask.
-            answer = answer._replace(close=True)
-        self._write(link, answer)
+            close = True
+        self._write(link, answer, close)
         await link.writer.drain()
         if answer.status in _UNREAD and answer.close:
             await self._read_away(link)
-        return not (answer.close or self.stopping) and link.again()
+        return not close and link.again()
 
     def _taken_up(self, link: Link) -> None:
         link.busy = True
@@ -251,33 +260,35 @@
                 break
         timer.cancel()
 
-    def _write(self, link: Link, answer: Answer) -> None:
+    def _write(self, link: Link, answer: Answer, close: bool) -> None:
         headers = [(b"Content-Type", answer.kind), (b"Content-Length", b"%d" % len(answer.body))]
         if answer.retry_after > 0:
             headers.append((b"Retry-After", b"%.3f" % (answer.retry_after / 1000.0)))
-        if answer.close or self.stopping:
+        if close:
             headers.append((b"Connection", b"close"))
         link.write(h11.Response(status_code=answer.status, headers=headers), answer.body)
 
-    async def _answer(self, link: Link, head: h11.Request, body: bytes) -> Answer:
+    async def _answer(self, link: Link, head: h11.Request, body: bytes) -> bool:
+        """Answers a message; whether the connection can carry another."""
         if head.method == b"GET" and head.target == b"/healthz":
-            return Answer(503 if self.stopping else 200)
+            return await self._reply(link, Answer(200 if self.phase.ready else 503))
         if head.method == b"GET" and head.target == b"/counters":
-            return Answer(200, self.core.counters.as_json().encode(), b"application/json")
+            counts = self.core.counters.as_json().encode()
+            return await self._reply(link, Answer(200, counts, b"application/json"))
         try:
             request, content = parse(head, body, self.wheel.now(), self.core)
         except MalformedError as error:
-            return Answer(400, str(error).encode())
+            return await self._reply(link, Answer(400, str(error).encode()))
         if request.request in self.core.jobs:
             # The same id twice at once would put two attempts of one request out together.
-            return Answer(409, b"this request is already in work")
+            return await self._reply(link, Answer(409, b"this request is already in work"))
         return await self._life(link, request, content)
 
-    async def _life(self, link: Link, request: io.Request, content: Content) -> Answer:
-        """The whole life of a job."""
+    async def _life(self, link: Link, request: io.Request, content: Content) -> bool:
+        """The whole life of a job, to the last byte of its answer."""
         counters = self.core.counters
         counters.add(f"taken.http.{request.service}")
-        job = None
+        job, word = None, "nobody"
         try:
             job = self.core.take(request)
             link.reader.on_end = functools.partial(self.core.gone, job)
@@ -291,13 +302,22 @@
             if job is not None:
                 self.core.gone(job)
             answer, word = Answer(500), "failed"
-        finally:
+        try:
             link.reader.on_end = None
+            if job is not None and job.overdue is not None:
+                job.overdue.cancel()
+            if job is not None and job.gone and word != "failed":
+                word = "nobody"
+            return await self._reply(link, answer)
+        except OSError:
+            word = "nobody"
+            raise
+        finally:
+            # Counted when its last byte has gone out: until then it is taken and not ended.
             if job is not None:
                 self.core.close(job)
-        nobody = job is not None and job.gone and word != "failed"
-        counters.add("answered.nobody" if nobody else f"answered.{word}")
-        return answer
+            counters.add(f"answered.{word}")
+            counters.add(f"class.{word}.{request.service}")
 
     async def _decided(self, job: Job, content: Content) -> tuple[Answer, str]:
         while True:
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -20,9 +20,11 @@
 from larklb.core import Core
 from larklb.counters import Counters
 from larklb.net import peers
+from larklb.net.console import Console
 from larklb.net.execute import ExecuteNodes
 from larklb.net.front import Front
 from larklb.net.machines import Machines
+from larklb.phase import Phase
 from larklb.quota.book import Book
 from larklb.quota.kept import customers
 from larklb.settings import Config, ConfigError, Operator, StoreEntry, load
@@ -60,7 +62,9 @@
     store = await _store(config, store_entry, core) if store_entry is not None else None
     machines = Machines(config, core)
     listener = await _listening(peers.listen(config, core))
-    front = Front(config, core, ExecuteNodes(config, core, machines))
+    phase = Phase(wheel.now())
+    front = Front(config, core, ExecuteNodes(config, core, machines), phase)
+    console = Console(core, phase)
     watch = functools.partial(for_good, "watch", machines.watch, counters)
     tasks = [_background(watch())]
 
@@ -79,7 +83,10 @@
     second = await _second_front(entry.grpc, core) if entry is not None and entry.grpc else None
     if desk is not None:
         await _listening(desk.start(core))
+    if config.admin is not None:
+        await _listening(console.start(*config.admin))
     await _listening(front.start())
+    phase.move("started", wheel.now())
     gc.collect()
     gc.freeze()            # what stays for good need not be looked through again,
     gc.set_threshold(10000, 20, 20)      # nor the rest so often: a job leaves few cycles behind
@@ -89,6 +96,7 @@
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await task
+    console.stop()
     if store is not None:
         await store.close()
     if desk is not None:
@@ -104,10 +112,10 @@
         # EDGE_DISCOVERY was told at the start: the file is what has been replaced since.
         renewed = load({name: text for name, text in os.environ.items() if name != "EDGE_DISCOVERY"})
     except ConfigError as error:
-        counters.add("errors.reload")
+        counters.add("config.rejected")
         log.error("the old configuration stays: %s", error)
         return None
-    counters.add("reloaded")
+    counters.add("config.applied")
     log.info("reloaded: discovery at %s:%d", *renewed.discovery)
     same = msgspec.structs.replace(renewed, discovery=config.discovery, known=config.known, seed=config.seed,
                                    sockets=descriptors(renewed.sockets))
--- a/larklb/settings.py
+++ b/larklb/settings.py
@@ -47,6 +47,7 @@
     name: str = ""
     listen: str = ""
     discovery: str = ""
+    admin: str = ""
     seed: str = "0"
     limits: Limits = msgspec.field(default_factory=Limits)
     peer_listen: str = ""
@@ -69,6 +70,7 @@
     dial_timeout: float
     conn_idle: float
     memory_mb: int = 192
+    admin: tuple[str, int] | None = None      # the second address, for the operators' staff
 
 
 def address(text: str) -> tuple[str, int]:
@@ -80,7 +82,7 @@
 
 
 def load(env: Mapping[str, str] = os.environ) -> Config:
-    """The instance's configuration; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY win over the file."""
+    """The instance's configuration; EDGE_NAME, _LISTEN, _DISCOVERY and _ADMIN win over the file."""
     path = env.get("EDGE_CONFIG", "")
     if not path:
         raise ConfigError("EDGE_CONFIG names no configuration file")
@@ -101,6 +103,7 @@
     except ValueError as error:
         raise ConfigError(f"{path}: seed {raw.seed!r} is no hex number") from error
     peers = tuple(address(peer) for peer in raw.peers)
+    admin = env.get("EDGE_ADMIN") or raw.admin
     if settings.can_tell and settings.gateways > 1 and len(peers) != settings.gateways:
         raise ConfigError(f"{path}: {len(peers)} peers for {settings.gateways} limiters")
     if raw.limits.sockets < 64:
@@ -112,7 +115,7 @@
         sockets=min(raw.limits.sockets, 1024), peers=peers,
         peer_listen=address(raw.peer_listen) if raw.peer_listen else None,
         known=raw.known, settings=settings, dial_timeout=dial, conn_idle=idle,
-        memory_mb=raw.limits.memory_mb)
+        memory_mb=raw.limits.memory_mb, admin=address(admin) if admin else None)
 
 
 class StoreEntry(msgspec.Struct, forbid_unknown_fields=True):
--- /dev/null
+++ b/tests/test_daily.py
@@ -0,0 +1,216 @@
+"""The operators' day: second address, figures, drain.  The program started and spoken to over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from larklb.phase import LET_GO, Phase, State
+from tests.standins import Limiter, Yard, ask, free_port, http, job, read_answer, served
+
+
+async def call(port: int, text: bytes) -> tuple[str, float]:
+    """The whole answer to what is written to the second address, and the seconds that it took."""
+    began = time.monotonic()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(text)
+    answer = (await asyncio.wait_for(reader.read(), 20)).decode()
+    writer.close()
+    return answer, time.monotonic() - began
+
+
+async def figures(port: int) -> dict[str, Any]:
+    head, _, rest = (await call(port, b"STATS\n"))[0].partition(" ")
+    text, stop = rest.rsplit("\n", 2)[0:2]
+    assert (head, stop) == ("+OK", ".")
+    found: dict[str, Any] = json.loads(text)
+    return found
+
+
+def with_console(yard: Yard) -> int:
+    port = free_port()
+    yard.environment["EDGE_ADMIN"] = f"127.0.0.1:{port}"
+    return port
+
+
+def test_the_phases_are_a_table_and_nothing_else_is_possible() -> None:
+    """All sequences of four moves against the rules said in plain words."""
+    for moves in itertools.product(("started", "drain", "undrain", "stop"), repeat=4):
+        phase, stopped, drained, started = Phase(0.0), False, False, False
+        for n, move in enumerate(moves, 1):
+            done = phase.move(move, float(n))
+            sense = {"started": not (started or drained or stopped), "drain": not stopped, "stop": True,
+                     "undrain": not stopped and (started or drained)}[move]
+            assert done is sense, (moves, n)
+            if done:
+                stopped = stopped or move == "stop"
+                drained = (drained or move == "drain") and move != "undrain"
+                started = started or move in ("started", "undrain")
+            assert phase.ready is (started and not drained and not stopped), (moves, n)
+            assert phase.leaving is (drained or stopped), (moves, n)
+
+
+def test_a_drain_told_twice_counts_from_the_first_time() -> None:
+    phase = Phase(0.0)
+    phase.move("started", 0.0)
+    assert phase.move("drain", 100.0) and phase.move("drain", 100.0 + LET_GO - 1)
+    assert not phase.lets_go(100.0 + LET_GO - 1) and phase.lets_go(100.0 + LET_GO)
+    assert phase.state is State.DRAINING
+
+
+@pytest.mark.parametrize("text", [
+    b"NONSENSE\n", b"\n", b"stats\n", b"STATS now\n", b"READY" + b"x" * 200 + b"\n", b"x" * 5000,
+    b"\xff\xfe\x00\n", b"STATS\nDRAIN\n", b"DRAIN\nDRAIN\n"])
+def test_what_is_no_call_is_told_so_and_does_nothing(tmp_path: Path, text: bytes) -> None:
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            port = with_console(yard)
+            yard.limiters[0].port = free_port()
+            await yard.limiters[0].stop()
+            await yard.limiters[0].start()
+            try:
+                answer, _ = await call(port, text)
+            except ConnectionResetError:
+                answer = "-ERR closed"
+            assert answer.startswith("-ERR ") and answer.count("\n") <= 1
+            assert (await call(port, b"READY\r\n"))[0] == "+OK ready\n"
+            assert (await ask(yard.limiters[0].port, job()))[0] == 200
+    asyncio.run(go())
+
+
+def test_callers_that_say_nothing_keep_no_call_from_its_answer(tmp_path: Path) -> None:
+    """Places are few: who holds one without a whole call goes when another call needs it."""
+    async def go() -> None:
+        yard = Yard(tmp_path)
+        port = with_console(yard)
+        async with yard:
+            held = [await asyncio.open_connection("127.0.0.1", port) for _ in range(60)]
+            for _, writer in held[::2]:
+                writer.write(b"STA")
+            for text in (b"READY\n", b"STATS\n") * 5:
+                answer, took = await call(port, text)
+                assert answer.startswith("+OK") and took < 1.0
+    asyncio.run(go())
+
+
+def test_an_address_that_is_taken_ends_the_start_with_one_line(tmp_path: Path) -> None:
+    async def go() -> None:
+        yard = Yard(tmp_path)
+        port = with_console(yard)
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", port)
+        limiter = yard.limiters[0]
+        with pytest.raises(AssertionError):
+            await limiter.start()
+        assert await limiter.stop() == 1
+        assert limiter.errors.decode().startswith("larklb: ") and limiter.errors.count(b"\n") == 1
+        server.close()
+    asyncio.run(go())
+
+
+def test_the_figures_are_those_that_submitters_and_nodes_counted(tmp_path: Path) -> None:
+    """Refusals, failures, further attempts and submitters that leave, by class."""
+    async def go() -> None:
+        yard = Yard(tmp_path, nodes=2)
+        port = with_console(yard)
+        async with yard:
+            limiter = yard.limiters[0]
+            assert (await figures(port))["responses"] == {
+                c: {"ok": 0, "shed": 0, "errors": 0, "tries": 0} for c in ("stock-check", "place-order")}
+
+            async def at_first_not(headers: dict[str, str], body: bytes) -> bytes:
+                if yard.seen()[headers["x-correlation-id"]] == 1:
+                    return http(503, b"", "X-Unprocessed: 1")
+                return await served(headers, body)
+
+            async def never(headers: dict[str, str], body: bytes) -> bytes:
+                return http(500)
+
+            async def late(headers: dict[str, str], body: bytes) -> bytes:
+                await asyncio.sleep(0.5)
+                return await served(headers, body)
+
+            heard: dict[str, list[int]] = {"stock-check": [], "place-order": []}
+
+            async def some(service: str, times: int, **more: Any) -> None:
+                for _ in range(times):
+                    heard[service].append((await ask(limiter.port, job(service=service, **more)))[0])
+
+            await some("stock-check", 5)
+            yard.nodes[0].reply = yard.nodes[1].reply = at_first_not
+            await some("stock-check", 3)
+            await some("place-order", 2)
+            yard.nodes[0].reply = yard.nodes[1].reply = never
+            await some("place-order", 2)
+            yard.nodes[0].reply = yard.nodes[1].reply = served
+            await some("stock-check", 14, plan="slow", account=9)
+            yard.nodes[0].reply = yard.nodes[1].reply = late
+            _, writer = await asyncio.open_connection("127.0.0.1", limiter.port)
+            writer.write(job(service="place-order").encode())
+            await asyncio.sleep(0.2)
+            assert (await figures(port))["active"] == 1
+            writer.close()
+            await asyncio.sleep(0.8)
+
+            told = await figures(port)
+            for service, heard_here in heard.items():
+                mine = told["responses"][service]
+                assert (mine["ok"], mine["shed"], mine["errors"]) == (
+                    heard_here.count(200), sum(s in (429, 503) for s in heard_here),
+                    sum(s in (500, 502) for s in heard_here)), service
+            assert heard["stock-check"].count(429) == 4
+            assert told["tries"] == yard.seen().total() == sum(
+                r["tries"] for r in told["responses"].values())
+            assert (told["active"], told["pool_size"], told["pool_ejected"]) == (0, 2, 0)
+    asyncio.run(go())
+
+
+async def _drained(limiter: Limiter, port: int) -> None:
+    assert (await call(port, b"DRAIN\n"))[0].startswith("+OK")
+    assert (await ask(limiter.port, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 503
+    assert (await call(port, b"READY\n"))[0] == "-ERR draining\n"
+
+
+def test_a_drained_limiter_lets_its_connections_go_and_comes_back(tmp_path: Path) -> None:
+    async def go() -> None:
+        yard = Yard(tmp_path)
+        port = with_console(yard)
+        async with yard:
+            limiter = yard.limiters[0]
+
+            async def late(headers: dict[str, str], body: bytes) -> bytes:
+                await asyncio.sleep(0.4)
+                return await served(headers, body)
+
+            async def kept() -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+                reader, writer = await asyncio.open_connection("127.0.0.1", limiter.port)
+                writer.write(job().encode())
+                assert (await read_answer(reader))[0] == 200
+                return reader, writer
+
+            idle, used, busy = [await kept() for _ in range(3)]
+            yard.nodes[0].reply = yard.nodes[1].reply = late
+            busy[1].write(job().encode())
+            await asyncio.sleep(0.1)
+            await _drained(limiter, port)
+            used[1].write(job().encode())
+            for reader, _ in (used, busy):       # what comes is served, and its connection ends with it
+                status, headers, _ = await read_answer(reader)
+                assert (status, headers.get("connection")) == (200, "close")
+            assert await asyncio.wait_for(idle[0].read(), 3) == b""
+            assert limiter.process is not None and limiter.process.returncode is None
+            assert (await call(port, b"UNDRAIN\n"))[0].startswith("+OK")
+            assert (await ask(limiter.port, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
+            yard.nodes[0].reply = yard.nodes[1].reply = served
+            again = await kept()
+            await asyncio.sleep(1.2)
+            again[1].write(job().encode())
+            assert (await read_answer(again[0]))[0] == 200, "kept again"
+            await _drained(limiter, port)
+            assert await limiter.stop() == 0
+    asyncio.run(go())
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -327,8 +327,15 @@
         reader = type("R", (), {"on_end": None, "ended": lambda self: False})()
         link: Any = type("L", (), {"reader": reader})()
         request = io.Request("r", "read", "free", "c", core.wheel.now() + 3000.0)
-        answer = await front._life(link, request, execute.Content(b"GET", b"/read", (), b""))
-        assert answer.status == 500 and not core.jobs
+        told: list[int] = []
+
+        async def reply(link: Any, answer: Any) -> bool:
+            told.append(answer.status)
+            return True
+
+        front._reply = reply
+        await front._life(link, request, execute.Content(b"GET", b"/read", (), b""))
+        assert told == [500] and not core.jobs
     asyncio.run(go())
 
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -339,7 +339,7 @@
                 path.write_text(bad)
                 limiter.process.send_signal(signal.SIGHUP)
                 await asyncio.sleep(0.2)
-            assert (await limiter.counters())["errors.reload"] == 2 and old.asked == [1]
+            assert (await limiter.counters())["config.rejected"] == 2 and old.asked == [1]
             yard.discovery = new
             limiter.config()
             limiter.process.send_signal(signal.SIGHUP)
