--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -12,21 +12,20 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from larklb import interface as io
 from larklb import peerwire as pw
+from larklb.health import ALL_WORK, TRIAL_PART, WORST, Attempt, Server
 from larklb.quota.alone import COPY_FRESH_MS, NEW_MS, QUIET_MS, REPEAT_MS, Alone
 from larklb.quota.book import Book
+from larklb.quota.breaker import CircuitBreaker
 from larklb.quota.bucket import TokenBucket
 from larklb.quota.kept import thin
 from larklb.quota.ring import digest, members, ring_owner
-from larklb.records import Attempt, Held, Lease
+from larklb.records import Held, Lease
 
-BREAKER_FAILURES = 3       # asks failed in a row that open a breaker (design)
-BREAKER_OPEN_MS = 30000.0  # how long it stays open (design) ...
 KNOCK_AIM = 0.3            # parts of the least aim between words to who is not heard, QUIET_MS at the most
-BREAKER_JITTER = 0.2       # ... and up to this much longer, so that trials do not come together (design)
 RESEND_AIM = 0.1           # an unanswered ask goes out again after this part of the aim ...
 ASKS = 3                   # so often in all ...
 GIVE_UP_AIM = 0.35         # ... and is given up after this part: most of the aim is left for the work
@@ -39,15 +38,12 @@
 FIRST_GUESS_AIM = 1 / 6    # latency taken for a class before any answer (part of its aim)
 LEARN = 0.05               # weight of one answer in what is usual for its class
 JUDGE = 0.25               # weight of one answer in the judgement of its server
-WORST = 12.0               # slowness that an error, time-out or refused connection counts as
 IDLE_PART = 0.9            # of the room of all servers: with less out, jobs beyond a quota may go on
-SPOILT = 4.0               # ... and a reset, or an answer of no use, from a server that is there
+SPOILT = 4.0               # slowness that a reset or an answer of no use counts as: the server is there
 FORGIVE_MS = 4000.0        # half-life of a judgement with no new answers: a server is then tried again ...
 FORGIVE_AIM = 2.5          # ... or so many aims, if they are long: it must outlast the answers it comes from
-TRIAL_PART = 0.25          # of that half-life passes between trials of a suspect, which are one at a time
 MEDIAN_AIM = 0.05          # part of the aim for which the median of the fleet's slowness is kept
 MEDIAN_OF = 25             # ... of so many servers, drawn where there are more
-ALL_WORK = 0               # judgements are kept of all work at a server, and by class and plan
 NEWS_SLOW = 2.0            # a judgement this bad is told to peers, and what becomes of it ...
 NEWS_MOST = 6              # ... so many in a message: bytes have a price
 SUSPECT = 3.0              # so many times slower than the median: work there may be moved elsewhere
@@ -64,63 +60,6 @@
 COLD_PART = 0.5            # of what a cold server is sure to stand: others' news of it come at other times
 
 
-@dataclass
-class CircuitBreaker:
-    """Of one owner: three failures open it, then one trial decides; any word drops it."""
-
-    failures: int = 0
-    open_until: float = -math.inf
-    trial: bool = False
-
-    def allows(self, now: float) -> bool:
-        if self.failures < BREAKER_FAILURES:
-            return True
-        if now < self.open_until or self.trial:
-            return False
-        self.trial = True
-        return True
-
-    def failed(self, now: float, chance: float) -> None:
-        self.failures += 1
-        if self.failures >= BREAKER_FAILURES and (self.trial or now >= self.open_until):
-            self.open_until = now + BREAKER_OPEN_MS * (1 + BREAKER_JITTER * chance)
-            self.trial = False
-
-
-class Server:
-    """One server as this gateway sees it."""
-
-    def __init__(self, entry: io.Entry, number: int, forgive: float) -> None:
-        self.entry, self.forgive = entry, forgive         # half-life of judgements
-        self.short = digest(entry.server) & 0xFFFF
-        self.order = digest(f"{number}/{entry.server}")   # gateways break ties differently
-        self.attempts: list[Attempt] = []                 # out from here, oldest first
-        self.others = 0                                   # attempts out from peers heard of lately
-        self.marks: dict[int, tuple[float, float]] = {}   # slowness by topic, and when it was judged
-        self.heard = -math.inf
-        self.last_sent = -math.inf
-        self.turn = 1.0                                   # part of the wait between sends while it is cold
-
-    def slowness(self, now: float, usual: float, topics: tuple[int, int]) -> float:
-        """Answers, errors and silence on one scale; a class judged just now goes by that, not by all work."""
-        if not self.attempts and not self.marks:
-            return 1.0
-        silent = now - max(self.attempts[0].sent, self.heard) if self.attempts else 0.0
-        slow = max(min(WORST, silent / usual), self.faded(now, topics[0]), self.faded(now, topics[1]))
-        fresh = now - self.judged(topics[:1]) < self.forgive * TRIAL_PART
-        return slow if fresh else max(slow, self.faded(now, ALL_WORK))
-
-    def faded(self, now: float, topic: int) -> float:
-        slow, at = self.marks.get(topic, (1.0, now))
-        return 1.0 + (slow - 1.0) * math.exp2(-max(0.0, now - at) / self.forgive)
-
-    def judged(self, topics: Sequence[int]) -> float:
-        return max((self.marks[t][1] for t in topics if t in self.marks), default=-math.inf)
-
-    def out(self) -> int:
-        return len(self.attempts) + self.others
-
-
 class Gateway:
     """One gateway: ``handle(now, event)`` returns the actions to carry out."""
 
--- a/larklb/records.py
+++ b/larklb/records.py
@@ -3,20 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from larklb import interface as io
-
-if TYPE_CHECKING:
-    from larklb.decide import Server
-
-
-@dataclass(eq=False)
-class Attempt:
-    server: Server
-    sent: float
-    out: bool = True
-    may_have_run: bool = True
+from larklb.health import Attempt
 
 
 @dataclass(eq=False)
--- a/tests/test_hardening.py
+++ b/tests/test_hardening.py
@@ -24,8 +24,8 @@
 from larklb import serve
 from larklb.agent import Agent
 from larklb.core import Core
-from larklb.decide import ALL_WORK
 from larklb.grpc.front import RateLimitFront
+from larklb.health import ALL_WORK
 from larklb.lab import yard as lab_yard
 from larklb.net import execute, peers
 from larklb.net.front import Front, parse
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -8,7 +8,7 @@
 
 from larklb import interface as io
 from larklb import peerwire as pw
-from larklb.decide import BREAKER_OPEN_MS, CircuitBreaker
+from larklb.quota.breaker import BREAKER_OPEN_MS, CircuitBreaker
 from larklb.quota.bucket import TokenBucket
 from larklb.quota.ring import digest, ring_owner
 from tests.conftest import settings
