--- a/larklb/core.py
+++ b/larklb/core.py
@@ -16,6 +16,8 @@
 from larklb.counters import Counters
 from larklb.decide import Gateway
 from larklb.quota.book import Book
+from larklb.quota.catalogue import plain
+from larklb.told import in_service
 from larklb.wheel import Timer, Wheel
 
 if TYPE_CHECKING:
@@ -63,7 +65,7 @@
         self.counters = counters
         self.gateway = Gateway(settings, seed, wheel.now(), book)
         self.classes = {c.name: c for c in settings.classes}
-        self.plans = {p.name for p in settings.plans}
+        self.plans = {p.name for p in settings.plans}           # that requests may name
         self.jobs: dict[str, Job] = {}
         self.tell: Callable[[int, bytes], None] = lambda peer, data: None
         self.keep: Callable[[io.Drawn], None] = lambda drawn: None
@@ -72,6 +74,17 @@
     def start(self) -> None:
         self._carry_out(self.gateway.start(self.wheel.now()))
 
+    def renew(self, settings: io.Settings) -> None:
+        """Other settings count from now on, for all that comes; ValueError, and nothing changes, where they
+        cannot be taken over in service."""
+        kept = in_service(self.settings, settings, self.gateway.topics)
+        if not self.gateway.book.extended:        # else plans are the catalogue's
+            self.gateway.book.take(self.wheel.now(), plain(kept.plans))
+        self.settings = kept
+        self.classes = {c.name: c for c in kept.classes}
+        self.plans = {p.name for p in settings.plans}
+        self.gateway.renew(self.wheel.now(), kept)
+
     def feed(self, event: io.Event) -> None:
         try:
             actions = self.gateway.handle(self.wheel.now(), event)
--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -64,15 +64,12 @@
     """One gateway: ``handle(now, event)`` returns the actions to carry out."""
 
     def __init__(self, settings: io.Settings, seed: int, now: float, book: Book | None = None) -> None:
-        self.s = settings
         self.book = book or Book(settings.plans)
         self.alone = Alone(settings, self.book, now)              # what is decided without the owner
         self.random = random.Random(seed)
-        self.classes = {c.name: c for c in settings.classes}
-        self.plans = {p.name: (i, p) for i, p in enumerate(settings.plans)}
-        self.usual = {c.name: c.aim * FIRST_GUESS_AIM for c in settings.classes}
-        self.aim = min(c.aim for c in settings.classes)
-        self.most_due = max(c.deadline for c in settings.classes)
+        self.usual: dict[str, float] = {}                         # by class, those that have vanished too
+        self.topics: dict[str, int] = {}
+        self._settle_in(settings)
         self.owners: dict[tuple[int, int, int], int] = {}         # of (customer, first, spread), recent ones
         self.buckets: dict[int, tuple[int, TokenBucket]] = {}     # that this gateway owns
         self.leases: dict[tuple[int, int], Lease] = {}
@@ -84,7 +81,6 @@
         self.up: list[Server] = []                                # those of them that may get new work
         self.weights: list[float] = []                            # ... and their weights, summed up
         self.medians: dict[tuple[int, int], tuple[float, float]] = {}   # by class and plan, with their time
-        self.topics = {c.name: 1 + i for i, c in enumerate(settings.classes)}
         self.news: dict[tuple[int, int], None] = {}               # (server, topic) judged bad, newest last
         self.by_short: dict[int, Server] = {}                     # the same, by the short digest
         self.repeat = REPEAT_MS                                   # between looks at who is to be told again
@@ -113,6 +109,24 @@
             self._greet(now)
         return self.actions
 
+    def _settle_in(self, settings: io.Settings) -> None:
+        self.s = self.alone.s = settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.plans = {p.name: (i, p) for i, p in enumerate(settings.plans)}
+        for c in settings.classes:                # a class keeps its topic, here and at peers, for good
+            self.usual.setdefault(c.name, c.aim * FIRST_GUESS_AIM)
+            self.topics.setdefault(c.name, 1 + len(self.topics))
+        self.aim = min(c.aim for c in settings.classes)
+        self.most_due = max(c.deadline for c in settings.classes)
+
+    def renew(self, now: float, settings: io.Settings) -> None:
+        """Other settings count from now on, of the same limiter among as many, the plans in their places.
+
+        A job under way keeps its class; a lower limit of attempts binds it at once.  All else stays."""
+        self._settle_in(settings)
+        for key, (told, bucket) in self.buckets.items():
+            self.book.fit(now, key, told, bucket)
+
     def handle(self, now: float, event: io.Event) -> list[io.Action]:
         self.actions = []
         match event:
@@ -600,7 +614,7 @@
         return best
 
     def _topics(self, h: Held) -> tuple[int, int]:
-        return self.topics[h.cls.name], len(self.topics) + 1 + h.plan_number
+        return self.topics[h.cls.name], io.MOST_TOPICS - h.plan_number
 
     def _may_follow(self, h: Held, ran: list[Attempt], s: Server, now: float) -> bool:
         """Whether a request that may have run may go to this server too (rule 2)."""
--- a/larklb/interface.py
+++ b/larklb/interface.py
@@ -16,7 +16,7 @@
 MOST_DEADLINE = 655350.0
 MOST_BURST = 2047.0
 MOST_OPEN = 65535
-MOST_TOPICS = 250
+MOST_TOPICS = 250          # of judgements: classes count up from 1, plans down from here
 
 
 class Repeat(Enum):
--- a/larklb/net/execute.py
+++ b/larklb/net/execute.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import logging
+import math
 from collections import defaultdict
 from typing import NamedTuple
 
@@ -64,16 +65,21 @@
 
     def __init__(self, config: Config, core: Core, machines: Machines) -> None:
         self.core, self.wheel, self.machines = core, core.wheel, machines
-        self.dial_timeout = config.dial_timeout
-        self.idle_limit = config.conn_idle * IDLE_PART
-        self.fresh = self.idle_limit             # a connection that has rested longer is not used again
         self.most = int(config.sockets * SOCKETS_PART)
-        self.rest = max(ANSWER_REST, REST_AIM * min(c.aim for c in config.settings.classes))
-        self.grace = config.settings.drain_grace * GRACE_PART
+        self.fresh = math.inf                    # a connection that has rested longer is not used again
+        self.renew(config)
         self.open = 0
         self.pools: defaultdict[Place, list[Link]] = defaultdict(list)
         self._sweep()
 
+    def renew(self, config: Config) -> None:
+        """The times of another configuration count from now on."""
+        self.dial_timeout = config.dial_timeout
+        self.idle_limit = config.conn_idle * IDLE_PART
+        self.fresh = min(self.fresh, self.idle_limit)
+        self.rest = max(ANSWER_REST, REST_AIM * min(c.aim for c in config.settings.classes))
+        self.grace = config.settings.drain_grace * GRACE_PART
+
     # Connections --------------------------------------------------------------------------
 
     def _sweep(self) -> None:
--- a/larklb/quota/book.py
+++ b/larklb/quota/book.py
@@ -99,6 +99,9 @@
         """Brings a bucket through the changes since it was last looked at, each at its own instant."""
         c = self.catalogue
         if len(c.versions) == 1:
+            plan = c.versions[0].plans[told]
+            if bucket.rate != plan.rate / parts or bucket.burst != plan.burst / parts:
+                self._change(bucket, now, plan, parts)       # other settings count, or a share has changed
             return
         self.judged(now, key, told)
         for index in c.changes(c.index.get(bucket.version, 0), self.index):
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -63,17 +63,20 @@
     machines = Machines(config, core)
     listener = await _listening(peers.listen(config, core))
     phase = Phase(wheel.now())
-    front = Front(config, core, ExecuteNodes(config, core, machines), phase)
+    nodes = ExecuteNodes(config, core, machines)
+    front = Front(config, core, nodes, phase)
     console = Console(core, phase)
     watch = functools.partial(for_good, "watch", machines.watch, counters)
     tasks = [_background(watch())]
 
     def reload() -> None:
-        """SIGHUP: the machine list is watched at once where the new file says."""
-        renewed = _renewed(config, counters)
-        if renewed is not None and machines.move(renewed.discovery):
-            tasks.pop(0).cancel()
-            tasks.insert(0, _background(watch()))
+        """SIGHUP: the file is checked whole, then taken whole; the list is watched at once where it says."""
+        renewed = _renewed(config, core)
+        if renewed is not None:
+            nodes.renew(renewed)
+            if machines.move(renewed.discovery):
+                tasks.pop(0).cancel()
+                tasks.insert(0, _background(watch()))
         if desk is not None:
             desk.reload()
 
@@ -106,20 +109,26 @@
     print(counters.as_json(), file=sys.stderr, flush=True)
 
 
-def _renewed(config: Config, counters: Counters) -> Config | None:
-    """The configuration read anew; None, and the old one holds, where it cannot be used."""
+def _renewed(config: Config, core: Core) -> Config | None:
+    """The configuration read anew, its settings in use; None, and the old one holds, where it is no good."""
+    counters = core.counters
     try:
         # EDGE_DISCOVERY was told at the start: the file is what has been replaced since.
-        renewed = load({name: text for name, text in os.environ.items() if name != "EDGE_DISCOVERY"})
-    except ConfigError as error:
+        renewed = load({name: text for name, text in os.environ.items() if name != "EDGE_DISCOVERY"},
+                       config.keys)
+        core.renew(renewed.settings)
+    except (ConfigError, ValueError) as error:
         counters.add("config.rejected")
         log.error("the old configuration stays: %s", error)
         return None
     counters.add("config.applied")
     log.info("reloaded: discovery at %s:%d", *renewed.discovery)
-    same = msgspec.structs.replace(renewed, discovery=config.discovery, known=config.known, seed=config.seed,
-                                   sockets=descriptors(renewed.sockets))
-    if same != config:
+    same = msgspec.structs.replace(
+        renewed, discovery=config.discovery, known=config.known, seed=config.seed, keys=config.keys,
+        dial_timeout=config.dial_timeout, conn_idle=config.conn_idle, settings=config.settings,
+        sockets=descriptors(renewed.sockets))
+    old, new = config.settings, renewed.settings
+    if same != config or (old.number, old.gateways, old.tick) != (new.number, new.gateways, new.tick):
         log.warning("what else has changed in the configuration takes effect at a restart")
     return renewed
 
--- a/larklb/settings.py
+++ b/larklb/settings.py
@@ -70,6 +70,7 @@
     dial_timeout: float
     conn_idle: float
     memory_mb: int = 192
+    keys: frozenset[str] = frozenset()         # of the file, those that a later one must have too
     admin: tuple[str, int] | None = None      # the second address, for the operators' staff
 
 
@@ -81,17 +82,32 @@
     return host.strip("[]"), int(port)
 
 
-def load(env: Mapping[str, str] = os.environ) -> Config:
-    """The instance's configuration; EDGE_NAME, _LISTEN, _DISCOVERY and _ADMIN win over the file."""
+def _keys(data: bytes) -> frozenset[str]:
+    """What a file has: its keys, those of its settings and of the objects in these; but for the list."""
+    whole = msgspec.json.decode(data, type=dict[str, Any])
+    settings = whole["settings"]
+    parts = {f"settings.{k}": v for k, v in settings.items()}
+    inner = {f"{k}.{i}" for k, v in parts.items() if isinstance(v, dict) for i in v}
+    return frozenset({*whole, *parts, *inner} - {"known"})
+
+
+def load(env: Mapping[str, str] = os.environ, before: frozenset[str] = frozenset()) -> Config:
+    """The instance's configuration; EDGE_NAME, _LISTEN, _DISCOVERY and _ADMIN win over the file.
+
+    ``before`` are the keys of the file that holds now: one that lacks any of them has been cut."""
     path = env.get("EDGE_CONFIG", "")
     if not path:
         raise ConfigError("EDGE_CONFIG names no configuration file")
     try:
-        raw = msgspec.json.decode(Path(path).read_bytes(), type=_File)
+        data = Path(path).read_bytes()
+        raw = msgspec.json.decode(data, type=_File)
+        keys = _keys(data)
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from error
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ConfigError(f"{path}: {error}") from error
+    if lacking := sorted(before - keys):
+        raise ConfigError(f"{path}: {lacking[0]} is missing")
     try:
         settings = settings_of(raw.settings)
         limits = raw.settings["limits"]
@@ -115,7 +131,7 @@
         sockets=min(raw.limits.sockets, 1024), peers=peers,
         peer_listen=address(raw.peer_listen) if raw.peer_listen else None,
         known=raw.known, settings=settings, dial_timeout=dial, conn_idle=idle,
-        memory_mb=raw.limits.memory_mb, admin=address(admin) if admin else None)
+        memory_mb=raw.limits.memory_mb, keys=keys, admin=address(admin) if admin else None)
 
 
 class StoreEntry(msgspec.Struct, forbid_unknown_fields=True):
--- a/larklb/told.py
+++ b/larklb/told.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Collection
+from dataclasses import replace
 from typing import Any
 
 from larklb import interface as io
@@ -10,12 +12,36 @@
 _REPEAT = {"repeatable": io.Repeat.SAFE, "by_key": io.Repeat.KEYED, "once": io.Repeat.NEVER}
 
 
+def figure(value: Any, name: str) -> float:
+    """A finite number above 0; ValueError for all else, a text or ``true`` among it."""
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not math.isfinite(value) or value <= 0:
+        raise ValueError(f"{name} is no number above 0: {value!r}")
+    return float(value)
+
+
+def in_service(old: io.Settings, new: io.Settings, topics: Collection[str]) -> io.Settings:
+    """``new`` as it can be taken over by a limiter that runs under ``old``; ValueError where it cannot.
+
+    Which limiter this is, among how many, and the clock's tick stay until a restart.  Plans keep their
+    places, by which buckets and peers know them: those that have vanished stay in theirs, new ones come
+    behind.  ``topics`` are the classes that have ever been there.
+    """
+    figures = {p.name: p for p in new.plans}
+    plans = [figures.pop(p.name, p) for p in old.plans] + list(figures.values())
+    classes = {*topics, *(c.name for c in new.classes)}
+    if len(classes) + len(plans) > io.MOST_TOPICS:
+        raise ValueError("too many classes and plans have come and gone: a restart is needed")
+    return replace(new, plans=tuple(plans), number=old.number, gateways=old.gateways, tick=old.tick)
+
+
 def settings_of(raw: dict[str, Any]) -> io.Settings:
     """The module's settings from those of the wire; keys that are not known are passed over."""
     limits, safety = raw["limits"], raw["safety"]
     family, charges = raw.get("family_info", {}), raw.get("charges", {})
     classes = tuple(io.ServiceClass(
-        name=c["name"], aim=c["aim"], deadline=c["deadline"], worth=c["gain"],
+        name=c["name"], aim=figure(c["aim"], "aim"),
+        deadline=figure(c["deadline"], "deadline"), worth=c["gain"],
         late_worth=c.get("late_worth", 0.0), repeat=_REPEAT[c["semantics"]],
         group=io.Group(c.get("group", "all")), window=c.get("window", 0.0)) for c in raw["classes"])
     plans = tuple(io.Plan(
@@ -30,7 +56,7 @@
         can_tell=limits.get("may_tell", False),
         can_cancel=limits.get("cancel", False), can_copy=limits.get("second_copies", False),
         must_ask_list=raw.get("discovery", "push") == "ask",
-        max_attempts=limits["max_attempts"],
+        max_attempts=int(figure(limits["max_attempts"], "max_attempts")),
         max_retry_after=limits.get("max_retry_after", 0.0) if limits.get("retry_after") else 0.0,
         cold_share=safety["cold_share"],
         warm_within=safety["warm_within"], tip_multiple=safety["tip_multiple"],
--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -5,14 +5,16 @@
 import asyncio
 import itertools
 import json
+import signal
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from larklb.phase import LET_GO, Phase, State
-from tests.standins import Limiter, Yard, ask, free_port, http, job, read_answer, served
+from tests.standins import Discovery, Limiter, Yard, ask, free_port, http, job, read_answer, served
 
 
 async def call(port: int, text: bytes) -> tuple[str, float]:
@@ -212,3 +214,122 @@
             await _drained(limiter, port)
             assert await limiter.stop() == 0
     asyncio.run(go())
+
+
+def _cut(change: Callable[[dict[str, Any]], object]) -> Callable[[dict[str, Any]], bytes]:
+    def text(config: dict[str, Any]) -> bytes:
+        change(config)
+        return json.dumps(config).encode()
+    return text
+
+
+def _first_class(config: dict[str, Any]) -> dict[str, Any]:
+    found: dict[str, Any] = config["settings"]["classes"][0]
+    return found
+
+
+BROKEN: dict[str, Callable[[dict[str, Any]], bytes]] = {
+    "empty": lambda c: b"", "no object": lambda c: b"[]", "cut short": lambda c: json.dumps(c).encode()[:-40],
+    "a text": _cut(lambda c: _first_class(c).update(deadline="4000")),
+    "true": _cut(lambda c: _first_class(c).update(deadline=True)),
+    "null": _cut(lambda c: _first_class(c).update(deadline=None)),
+    "below 0": _cut(lambda c: _first_class(c).update(deadline=-4000)),
+    "huge": _cut(lambda c: _first_class(c).update(aim=1e308 * 10)),
+    "no attempts": _cut(lambda c: c["settings"]["limits"].update(max_attempts=0)),
+    "attempts as a list": _cut(lambda c: c["settings"]["limits"].update(max_attempts=[4])),
+    "no classes": _cut(lambda c: c["settings"].update(classes=[])),
+    "no deadline": _cut(lambda c: _first_class(c).pop("deadline")),
+    **{f"no {name}": _cut(lambda c, name=name: c.pop(name)) for name in (      # type: ignore[misc]
+        "settings", "discovery", "limits", "peers", "peer_listen", "listen", "seed")},
+    **{f"no {name} in the settings": _cut(lambda c, name=name: c["settings"].pop(name))   # type: ignore[misc]
+       for name in ("classes", "tariffs", "limits", "safety", "family_info", "ordinal", "tick")},
+    "no inner key": _cut(lambda c: c["settings"]["family_info"].pop("inbox_per_s")),
+}
+
+
+async def _reloaded(yard: Yard, text: bytes) -> None:
+    limiter = yard.limiters[0]
+    (yard.folder / "n0.json").write_bytes(text)
+    assert limiter.process is not None
+    limiter.process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.1)
+
+
+def test_nothing_is_taken_of_a_broken_file(tmp_path: Path) -> None:
+    """Each of them also names another discovery, another class and fewer attempts: none of it may be seen."""
+    async def go() -> None:
+        yard, other = Yard(tmp_path), Discovery()
+        port = with_console(yard)
+        await other.start()
+        async with yard:
+            good = json.loads((tmp_path / "n0.json").read_text())
+            for n, (why, text) in enumerate(BROKEN.items(), 1):
+                config = json.loads(json.dumps(good))
+                config["discovery"] = f"127.0.0.1:{other.port}"
+                config["settings"]["classes"].append({**_first_class(config), "name": "extra"})
+                await _reloaded(yard, text(config))
+                told = await figures(port)
+                assert (told["config_applied"], told["config_rejected"]) == (0, n), why
+            assert sorted(told["responses"]) == ["place-order", "stock-check"] and not other.asked
+            assert (await ask(yard.limiters[0].port, job(service="extra")))[0] == 400
+            assert (await ask(yard.limiters[0].port, job()))[0] == 200
+            await yard.limiters[0].stop()
+            lines = yard.limiters[0].errors.decode().splitlines()
+            assert sum("the old configuration stays" in line for line in lines) == len(BROKEN)
+    asyncio.run(go())
+
+
+def test_classes_come_and_go_and_jobs_under_way_keep_theirs(tmp_path: Path) -> None:
+    async def go() -> None:
+        yard = Yard(tmp_path)
+        port = with_console(yard)
+        async with yard:
+            limiter = yard.limiters[0]
+            config = json.loads((tmp_path / "n0.json").read_text())
+
+            async def late(headers: dict[str, str], body: bytes) -> bytes:
+                await asyncio.sleep(0.8)
+                return await served(headers, body)
+
+            yard.nodes[0].reply = yard.nodes[1].reply = late
+            under_way = asyncio.ensure_future(ask(limiter.port, job(service="place-order")))
+            await asyncio.sleep(0.2)
+            stock, _ = config["settings"]["classes"]
+            config["settings"]["classes"] = [stock, {**stock, "name": "once-only", "semantics": "once"}]
+            config["settings"]["limits"]["max_attempts"] = 1
+            await _reloaded(yard, json.dumps(config).encode())
+            once = job(service="stock-check").replace("GET /stock-check", "POST /once-only").replace(
+                "X-Service-Class: stock-check", "X-Service-Class: once-only\r\nContent-Length: 0")
+            assert (await ask(limiter.port, once))[0] == 200
+            assert (await ask(limiter.port, job(service="place-order")))[0] == 400
+            assert (await under_way)[0] == 200
+
+            async def turned_away(headers: dict[str, str], body: bytes) -> bytes:
+                return http(503, b"", "X-Unprocessed: 1")
+
+            yard.nodes[0].reply = yard.nodes[1].reply = turned_away
+            before = yard.seen().total()
+            assert (await ask(limiter.port, job()))[0] == 503
+            assert yard.seen().total() == before + 1, "one attempt, as the new file says"
+            told = await figures(port)
+            assert told["responses"]["place-order"]["ok"] == 1 and told["config_applied"] == 1
+            assert told["responses"]["once-only"]["ok"] == 1
+    asyncio.run(go())
+
+
+def test_a_plan_with_other_figures_keeps_what_its_buckets_hold(tmp_path: Path) -> None:
+    """A burst of 10 that is spent stays spent under a plan with a burst of 20."""
+    async def go() -> None:
+        yard = Yard(tmp_path)
+        async with yard:
+            limiter = yard.limiters[0]
+            first = [(await ask(limiter.port, job(plan="slow", account=7)))[0] for _ in range(12)]
+            config = json.loads((tmp_path / "n0.json").read_text())
+            config["settings"]["tariffs"] = [{"name": "new", "quota_rate": 1.0, "depth": 3.0},
+                                             {"name": "slow", "quota_rate": 0.001, "depth": 20.0}]
+            await _reloaded(yard, json.dumps(config).encode())
+            second = [(await ask(limiter.port, job(plan="slow", account=7)))[0] for _ in range(3)]
+            third = [(await ask(limiter.port, job(plan="new", account=8)))[0] for _ in range(5)]
+            assert (first.count(200), second.count(200), third.count(200)) == (10, 0, 3)
+            assert (await ask(limiter.port, job(plan="wide")))[0] == 400
+    asyncio.run(go())
