Let a second process take over under load: sockets, state, then each connection as it rests

Only where `admin` is set and no operator's file is: as before else. SO_REUSEPORT is set behind the bind, so that a stranger at our address is still told.

Found while testing, cause traced in each case: - one reset connection in some runs under load: asyncio drops a connection that it has accepted when the server object is closed in that instant (the transport asserts that its server lives). Ruled out: the state going over late (0.7 s from the start to the yes is the import, the pause itself is milliseconds).

Tests: three upgrades under load (one answer each, a burst spent once, no connection closed), the new process broken off at five steps, killed after its yes, the old one stuck, killed, silent, no folder, a drain that goes over, a state cut at every seventh byte, plans by name.

--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -118,6 +118,7 @@
             self.topics.setdefault(c.name, 1 + len(self.topics))
         self.aim = min(c.aim for c in settings.classes)
         self.most_due = max(c.deadline for c in settings.classes)
+        self.forgive = max(FORGIVE_MS, FORGIVE_AIM * self.aim)    # half-life of judgements
 
     def renew(self, now: float, settings: io.Settings) -> None:
         """Other settings count from now on, of the same limiter among as many, the plans in their places.
@@ -539,8 +540,7 @@
                 server.entry = replace(server.entry, state=io.State.GONE)
         for name, entry in named.items():
             if name not in self.servers:
-                forgive = max(FORGIVE_MS, FORGIVE_AIM * self.aim)
-                self.servers[name] = Server(replace(entry, started=None), self.s.number, forgive)
+                self.servers[name] = Server(replace(entry, started=None), self.s.number, self.forgive)
             known = self.servers[name]
             self.by_short[known.short] = known
             if entry.started != known.entry.started:
--- /dev/null
+++ b/larklb/handed.py
@@ -0,0 +1,165 @@
+"""What one process of a limiter hands to the next, so that the two are one limiter; no input or output.
+
+All clocks here are the machine's monotonic one, which both processes read alike.  Jobs under way do not go
+over: the process that took them finishes them.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from larklb import interface as io
+from larklb.decide import Gateway
+from larklb.health import Server
+from larklb.quota.apart import Asked, Told
+from larklb.quota.breaker import CircuitBreaker
+from larklb.quota.bucket import TokenBucket
+from larklb.quota.demand import Demand
+from larklb.quota.settling import Known, Mine
+from larklb.records import Copy, Lease
+
+VERSION = 1                # of this form: a process of another one is not understood
+NO_ROOM = 1e-9             # of what a cold node stands is left to a process that has handed over
+
+
+class HandedError(Exception):
+    """What came is not what one process hands to the next."""
+
+
+class Place(msgspec.Struct, array_like=True):
+    """A listed execute node: where it is dialled, and since when it wants nothing new."""
+
+    host: str
+    port: int
+    closed_at: float | None
+
+
+class Seen(msgspec.Struct, array_like=True):
+    """What is known of one server."""
+
+    entry: io.Entry
+    marks: dict[int, tuple[float, float]]
+    heard: float
+    last_sent: float
+    turn: float
+
+
+class Handed(msgspec.Struct):
+    """The state of a limiter, but for its jobs."""
+
+    version: int
+    draining: bool
+    # The machine list.
+    generation: int
+    discovery: tuple[str, int]
+    offset: float
+    places: dict[str, Place]
+    servers: list[Seen]
+    # Plans by name: both processes number them by their own file.
+    plans: list[str]
+    topics: dict[str, int]
+    usual: dict[str, float]
+    room: float
+    busy: float
+    pressed: float
+    breakers: dict[int, CircuitBreaker]
+    buckets: list[tuple[int, int, TokenBucket]]
+    leases: list[tuple[tuple[int, int], Lease]]
+    # What is decided without the owner.
+    began: float
+    copies: dict[int, Copy]
+    slices: dict[int, tuple[int, TokenBucket, float]]
+    heard_at: dict[int, float]
+    ends: dict[int, float]
+    demand: dict[int, Demand]
+    asked: dict[int, dict[int, Asked]]
+    told: dict[int, Told]
+    since: dict[int, float]
+    whole: dict[int, float]
+    incarnation: int
+    mine: dict[int, Mine]
+    unsettled: dict[int, list[int]]
+    known: list[tuple[tuple[int, int], Known]]
+    current: dict[int, int]
+    settled_at: dict[int, float]
+    speak: dict[int, tuple[float, int]]
+
+
+def pack(gateway: Gateway, *, draining: bool, generation: int, discovery: tuple[str, int], offset: float,
+         places: dict[str, Place]) -> bytes:
+    """The state as bytes."""
+    g, alone = gateway, gateway.alone
+    shares, settling = alone.shares, alone.settling
+    return msgspec.msgpack.encode(Handed(
+        version=VERSION, draining=draining, generation=generation, discovery=discovery, offset=offset,
+        places=places,
+        servers=[Seen(s.entry, s.marks, s.heard, s.last_sent, s.turn) for s in g.servers.values()],
+        plans=[p.name for p in g.s.plans], topics=g.topics, usual=g.usual, room=g.room, busy=g.busy,
+        pressed=g.pressed, breakers=dict(g.breakers),
+        buckets=[(key, plan, bucket) for key, (plan, bucket) in g.buckets.items()],
+        leases=list(g.leases.items()), began=alone.began, copies=alone.copies, slices=alone.slices,
+        heard_at=alone.heard_at, ends=alone.ends, demand=shares.demand, asked=shares.asked,
+        told=shares.told, since=shares.since, whole=shares.whole, incarnation=settling.incarnation,
+        mine=settling.mine, unsettled={owner: list(keys) for owner, keys in settling.open.items()},
+        known=list(settling.known.items()), current=settling.current, settled_at=settling.heard_at,
+        speak=g.book.peers))
+
+
+def unpack(data: bytes) -> Handed:
+    """The state from its bytes; HandedError where they are of another form, cut short or garbage."""
+    try:
+        handed = msgspec.msgpack.decode(data, type=Handed)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise HandedError(f"the state that was handed over cannot be read: {error}") from error
+    if handed.version != VERSION:
+        raise HandedError(f"the state is of version {handed.version}, here it is {VERSION}")
+    return handed
+
+
+def install(gateway: Gateway, handed: Handed, now: float) -> None:
+    """Into a gateway that has just been made; its own settings count, where plans and classes differ."""
+    g, alone = gateway, gateway.alone
+    numbers = {name: n for n, name in enumerate(p.name for p in g.s.plans)}
+    to = {old: numbers[name] for old, name in enumerate(handed.plans) if name in numbers}
+    topics = {old: g.topics[name] for name, old in handed.topics.items() if name in g.topics}
+    topics |= {io.MOST_TOPICS - old: io.MOST_TOPICS - new for old, new in to.items()} | {0: 0}
+    for seen in handed.servers:
+        server = Server(seen.entry, g.s.number, g.forgive)
+        server.marks = {topics[t]: mark for t, mark in seen.marks.items() if t in topics}
+        server.heard, server.last_sent, server.turn = seen.heard, seen.last_sent, seen.turn
+        g.servers[seen.entry.server] = g.by_short[server.short] = server
+    g.usual.update({name: usual for name, usual in handed.usual.items() if name in g.topics})
+    g.room, g.busy, g.pressed = handed.room, handed.busy, handed.pressed
+    g.breakers.update(handed.breakers)
+    g.buckets = {key: (to[plan], bucket) for key, plan, bucket in handed.buckets if plan in to}
+    for name, lease in handed.leases:
+        if lease.plan in to:
+            lease.plan, lease.judged = to[lease.plan], to.get(lease.judged, to[lease.plan])
+            g.leases[name] = lease
+    alone.began, alone.heard_at, alone.ends = handed.began, handed.heard_at, handed.ends
+    for key, copy in handed.copies.items():
+        if copy.plan in to:
+            copy.plan, alone.copies[key] = to[copy.plan], copy
+    alone.slices = {k: (to[p], b, part) for k, (p, b, part) in handed.slices.items() if p in to}
+    shares, settling = alone.shares, alone.settling
+    shares.demand, shares.asked, shares.told = handed.demand, handed.asked, handed.told
+    shares.since, shares.whole = handed.since, handed.whole
+    settling.incarnation = handed.incarnation
+    settling.mine = {k: m for k, m in handed.mine.items() if m.plan in to}
+    for mine in settling.mine.values():
+        mine.plan = to[mine.plan]
+    settling.open = {owner: {k: settling.mine[k] for k in keys if k in settling.mine}
+                     for owner, keys in handed.unsettled.items()}
+    settling.known = dict(handed.known)
+    settling.current, settling.heard_at = handed.current, handed.settled_at
+    g.book.peers = handed.speak
+    for key, (told, bucket) in g.buckets.items():
+        g.book.fit(now, key, told, bucket)
+
+
+def retired(settings: io.Settings) -> dict[str, Any]:
+    """What changes in the settings of a process that has handed over and only finishes its jobs: it asks and
+    tells nobody, and what a cold node stands is the other process's alone."""
+    return {"can_tell": False, "tip_multiple": settings.tip_multiple * NO_ROOM}
--- a/larklb/net/console.py
+++ b/larklb/net/console.py
@@ -35,7 +35,7 @@
             "READY": self._ready, "STATS": self._stats, "DRAIN": self._drain, "UNDRAIN": self._undrain}
         # Those that have not said a whole call yet, the longest waiting first.
         self.waiting: dict[asyncio.StreamWriter, None] = {}
-        self.open = 0
+        self.open: dict[asyncio.Task[None], asyncio.StreamWriter] = {}
 
     async def start(self, host: str, port: int) -> None:
         """OSError where the address is taken or not ours."""
@@ -45,12 +45,16 @@
                                                  backlog=MOST_AT_ONCE)
         listening.listen(BACKLOG)        # asyncio has one figure for what waits and what it takes in at once
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
         if self.server is not None:
             self.server.close()
+        for writer in self.open.values():
+            writer.transport.abort()
+        if self.open:
+            await asyncio.wait(self.open)
 
     async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.open >= MOST_AT_ONCE:
+        if len(self.open) >= MOST_AT_ONCE:
             if not self.waiting:
                 writer.transport.abort()
                 return
@@ -58,7 +62,9 @@
             del self.waiting[oldest]
             oldest.transport.abort()
             self.core.counters.add("console.for_room")
-        self.open += 1
+        task = asyncio.current_task()
+        assert task is not None
+        self.open[task] = writer
         self.waiting[writer] = None
         timer = self.wheel.after(PATIENCE, writer.transport.abort)
         try:
@@ -74,7 +80,7 @@
         finally:
             timer.cancel()
             self.waiting.pop(writer, None)
-            self.open -= 1
+            del self.open[task]
             writer.close()
 
     async def _line(self, reader: asyncio.StreamReader) -> bytes | None:
--- a/larklb/net/execute.py
+++ b/larklb/net/execute.py
@@ -65,8 +65,9 @@
 
     def __init__(self, config: Config, core: Core, machines: Machines) -> None:
         self.core, self.wheel, self.machines = core, core.wheel, machines
-        self.most = int(config.sockets * SOCKETS_PART)
+        self.share_of = self.most = int(config.sockets * SOCKETS_PART)
         self.fresh = math.inf                    # a connection that has rested longer is not used again
+        self.retired = False                     # another process has our place: connections are not kept
         self.renew(config)
         self.open = 0
         self.pools: defaultdict[Place, list[Link]] = defaultdict(list)
@@ -80,6 +81,17 @@
         self.rest = max(ANSWER_REST, REST_AIM * min(c.aim for c in config.settings.classes))
         self.grace = config.settings.drain_grace * GRACE_PART
 
+    def share(self, shared: bool) -> None:
+        """Whether another process of this limiter still has connections, of the same descriptors."""
+        self.most = self.share_of // 2 if shared else self.share_of
+
+    def retire(self, retired: bool) -> None:
+        """Whether only the attempts under way matter any more: idle connections are of no use then."""
+        self.retired = retired
+        for place, pool in list(self.pools.items()) if retired else ():
+            for link in list(pool):
+                self._drop(place, link)
+
     # Connections --------------------------------------------------------------------------
 
     def _sweep(self) -> None:
@@ -125,7 +137,7 @@
 
     def _keep(self, place: Place, link: Link) -> None:
         # Bytes behind an answer belong to no job: the next one's answer would be read from them.
-        if link.reader.ended() or link.more() or not link.again():
+        if self.retired or link.reader.ended() or link.more() or not link.again():
             self._end(link)
             return
         link.since = self.wheel.now()
--- a/larklb/net/front.py
+++ b/larklb/net/front.py
@@ -6,8 +6,10 @@
 import functools
 import itertools
 import logging
+import os
 import re
 import socket
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -108,48 +110,123 @@
         self.idle: dict[Link, None] = {}       # ... and those that wait for another, the longest idle first
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
+        self.ended = False              # nothing more is taken
+        self.resting = False            # what is not taken up yet waits in the sockets
+        # Where another process has our place: passes a connection that rests on to it, False if it cannot.
+        self.pass_on: Callable[[Link], bool] | None = None
         self._sweep()
 
-    async def start(self) -> None:
+    def _protocol(self, new: bool = True) -> asyncio.StreamReaderProtocol:
         loop = asyncio.get_running_loop()
 
         def connected(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             assert isinstance(reader, WatchedReader)
-            task = loop.create_task(self._connection(Link(reader, writer, h11.SERVER)))
+            link = Link(reader, writer, h11.SERVER)
+            link.new = new
+            task = loop.create_task(self._connection(link))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-        def protocol() -> asyncio.StreamReaderProtocol:
-            return asyncio.StreamReaderProtocol(WatchedReader(), connected, loop=loop)
+        return asyncio.StreamReaderProtocol(WatchedReader(), connected, loop=loop)
 
+    def _listening(self, shared: bool) -> socket.socket:
         host, port = self.config.listen
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listening = socket.create_server((host, port), family=family, backlog=BACKLOG)
-        self.server = await loop.create_server(protocol, sock=listening, backlog=ACCEPTED)
+        listening = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+        try:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if shared:
+                listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            listening.bind((host, port))
+            # Set now, not before: a stranger at our address is told, another process of ours may join.
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        except OSError:
+            listening.close()
+            raise
+        return listening
+
+    async def start(self, listening: socket.socket | None = None, shared: bool = False) -> None:
+        """Takes connections from ``listening``, or from the configured address, perhaps ``shared`` with
+        another process of this limiter; OSError where it cannot be had."""
+        listening = listening or self._listening(shared)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self._protocol, sock=listening, backlog=ACCEPTED)
         listening.listen(BACKLOG)        # asyncio has one figure for what waits and what it takes in at once
 
+    async def adopt(self, sock: socket.socket, new: bool) -> None:
+        """A client's connection from the process that had our place before."""
+        sock.setblocking(False)
+        await asyncio.get_running_loop().connect_accepted_socket(lambda: self._protocol(new), sock)
+
+    def rest(self) -> socket.socket:
+        """Takes up nothing new: what comes waits in the sockets.  Returns the listening one, to be kept."""
+        assert self.server is not None
+        kept = socket.socket(fileno=os.dup(self.server.sockets[0].fileno()))
+        # Not closed yet: a connection that was accepted just now would be dropped with it.
+        asyncio.get_running_loop().remove_reader(self.server.sockets[0].fileno())
+        self.resting = True
+        for link in self.links:
+            if not link.busy and not link.more():
+                link.pause()
+        return kept
+
+    async def go_on(self, listening: socket.socket) -> None:
+        """After a rest, or when the process that had our place has gone."""
+        self.resting, self.pass_on = False, None
+        self._close_server()
+        for link in self.links:
+            link.resume()
+        await self.start(listening)
+
+    def hand_on(self, pass_on: Callable[[Link], bool]) -> None:
+        """Another process has our place: each connection goes to it as it rests."""
+        self.resting, self.pass_on = False, pass_on
+        self._close_server()
+        self._let_go()
+
+    def _close_server(self) -> None:
+        if self.server is not None:
+            self.server.close()
+
     async def stop(self) -> None:
         """Takes what still arrives for a while, then ends what is idle and finishes all that was taken."""
         self.phase.move("stop", self.wheel.now())
-        self._close_idle()
-        await self.wheel.sleep(LINGER)
-        if self.server is not None:
-            self.server.close()
-        self._close_idle()
+        self._let_go()
+        if self.pass_on is None:
+            await self.wheel.sleep(LINGER)
+        if self.server is not None and self.server.sockets:
+            asyncio.get_running_loop().remove_reader(self.server.sockets[0].fileno())
+            await self.wheel.sleep(1.0)
+            self._close_server()
+        self.ended = self.pass_on is None
         while self.tasks:
-            await asyncio.wait(self.tasks)
+            self._let_go()
+            await asyncio.wait(self.tasks, timeout=SWEEP / 1000.0)
 
-    def _close_idle(self) -> None:
-        for link in self.links:
-            if not link.busy and link.silent():
+    def _let_go(self) -> None:
+        """Connections that carry no job end, or go to the process that has our place."""
+        for link in list(self.links):
+            if link.busy:
+                continue
+            if self.pass_on is not None:
+                self._pass_on(link)
+            elif link.silent():
                 link.writer.close()
 
+    def _pass_on(self, link: Link) -> bool:
+        link.pause()
+        if link.more() or self.pass_on is None or not self.pass_on(link):
+            link.resume()
+            return False
+        self.core.counters.add("passed_on")
+        self._close(link)
+        return True
+
     def _sweep(self) -> None:
         """What says nothing, or hangs in the middle of a message, must not hold a descriptor for good."""
         self.wheel.after(SWEEP, self._sweep)      # first: a sweep that fails must not be the last
         now = self.wheel.now()
-        if self.phase.lets_go(now):
-            self._close_idle()
+        if self.pass_on is not None or self.phase.lets_go(now):
+            self._let_go()
         for link in list(self.links):
             if link.busy:
                 continue
@@ -212,8 +289,13 @@
     async def _message(self, link: Link) -> bool:
         """One message and its answer; whether the connection can carry another."""
         link.busy = False
-        if self.server is not None and not self.server.is_serving():
+        if self.ended:
             return False
+        if not link.more():
+            if self.pass_on is not None and self._pass_on(link):
+                return False
+            if self.resting:
+                link.pause()
         try:
             got = await link.read()
             self._taken_up(link)
@@ -236,7 +318,7 @@
         """Writes an answer to its last byte; whether the connection can carry another message."""
         if answer.status in (400, 409, 413):
             self.core.counters.add("malformed")
-        close = answer.close or self.phase.leaving
+        close = answer.close or self.phase.leaving and self.pass_on is None
         if link.new and len(self.idle) >= self.kept:
             # Many ask once and stay.  They may hold so many connections and no more: then nobody can ask.
             close = True
--- a/larklb/net/http.py
+++ b/larklb/net/http.py
@@ -146,6 +146,13 @@
             return True
         return False
 
+    def pause(self) -> None:
+        """What comes from now on waits in the socket."""
+        self.writer.transport.pause_reading()       # type: ignore[attr-defined]
+
+    def resume(self) -> None:
+        self.writer.transport.resume_reading()      # type: ignore[attr-defined]
+
     def abort(self) -> None:
         self.writer.transport.abort()
 
--- a/larklb/net/machines.py
+++ b/larklb/net/machines.py
@@ -41,8 +41,18 @@
         self.generation = 0
         # Fixed once: the same start must always give the same instant, or the module sees a new process.
         self.offset = self.wheel.now() - time.time() * 1000.0
-        if config.known is not None:
-            self.apply(config.known, io.ListKind.RECALLED)
+        self.known = config.known
+
+    def recall(self) -> None:
+        """The list that this limiter held last, perhaps long ago."""
+        if self.known is not None:
+            self.apply(self.known, io.ListKind.RECALLED)
+
+    def restore(self, of: dict[str, Machine], offset: float, generation: int, where: tuple[str, int]) -> None:
+        """The list as another process of this limiter held it, which was told it by discovery ``where``."""
+        self.of, self.offset = of, offset
+        self.generation = generation if where == self.where else 0
+        self.core.feed(io.ServerList(io.ListKind.CHANGES, generation))
 
     def apply(self, news: MachineList, kind: io.ListKind) -> None:
         now, entries = self.wheel.now(), []
--- a/larklb/net/peers.py
+++ b/larklb/net/peers.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import os
+import socket
 from typing import Any
 
 from larklb import interface as io
@@ -50,10 +52,25 @@
         if not self.closing:
             self.opening = asyncio.ensure_future(again())
 
-    async def open(self) -> None:
-        """OSError where the address cannot be had."""
+    async def open(self, sock: socket.socket | None = None, shared: bool = False) -> None:
+        """OSError where the address cannot be had.  ``sock``: it is had already; ``shared``: with a process
+        of this limiter that cannot hand it over."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, self.where)
+        self.closing = False
+        if sock is not None:
+            await loop.create_datagram_endpoint(lambda: self, sock=sock)
+            return
+        await loop.create_datagram_endpoint(lambda: self, self.where, reuse_port=shared)
+        if self.transport is not None:        # set now, not before: a stranger at our address is told
+            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+
+    def release(self) -> socket.socket | None:
+        """Reads no more; the socket itself, in which datagrams wait for the next to open it."""
+        if self.transport is None:
+            return None
+        kept = socket.socket(fileno=os.dup(self.transport.get_extra_info("socket").fileno()))
+        self.close()
+        return kept
 
     def close(self) -> None:
         self.closing = True
@@ -81,9 +98,10 @@
         self.core.counters.add("errors.peer")
 
 
-async def listen(config: Config, core: Core) -> Peers | None:
+async def listen(config: Config, core: Core, sock: socket.socket | None = None,
+                 shared: bool = False) -> Peers | None:
     if config.peer_listen is None:
         return None
     peers = Peers(config, core)
-    await peers.open()
+    await peers.open(sock, shared)
     return peers
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -10,24 +10,28 @@
 import os
 import resource
 import signal
+import socket
 import sys
 from collections.abc import Awaitable
 from pathlib import Path
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, NamedTuple, TypeVar
 
 import msgspec
 
 from larklb.core import Core
 from larklb.counters import Counters
+from larklb.handed import Handed, HandedError, unpack
 from larklb.net import peers
 from larklb.net.console import Console
 from larklb.net.execute import ExecuteNodes
 from larklb.net.front import Front
+from larklb.net.handover import Channel, HandoverError, find, meeting_place, take
 from larklb.net.machines import Machines
 from larklb.phase import Phase
 from larklb.quota.book import Book
 from larklb.quota.kept import customers
 from larklb.settings import Config, ConfigError, Operator, StoreEntry, load
+from larklb.succession import Succession
 from larklb.upkeep import for_good
 from larklb.wheel import Wheel
 
@@ -58,14 +62,25 @@
     book = desk.book if desk is not None else Book(config.settings.plans, most=customers(config.memory_mb))
     core = Core(config.settings, config.seed, wheel, counters, book)
     core.ledger = desk.ledger if desk is not None else None
-    core.start()
-    store = await _store(config, store_entry, core) if store_entry is not None else None
-    machines = Machines(config, core)
-    listener = await _listening(peers.listen(config, core))
     phase = Phase(wheel.now())
+    machines = Machines(config, core)
     nodes = ExecuteNodes(config, core, machines)
     front = Front(config, core, nodes, phase)
     console = Console(core, phase)
+    if config.admin is not None:
+        await _listening(console.start(*config.admin))
+    succession = Succession(core, phase, machines, nodes, front)
+    # What an operator's file adds (folders, addresses of its own) belongs to one process alone; and without a
+    # second address nobody could tell when the next process is ready.
+    succeeds = operator is None and config.admin is not None
+    place = meeting_place(config.name, config.listen) if succeeds else None
+    before = await _before(place, wheel, succession) if succeeds else Before()
+    core.start()
+    if before.handed is None:
+        machines.recall()
+    store = await _store(config, store_entry, core) if store_entry is not None else None
+    listener = await _listening(peers.listen(config, core, before.peers, before.shared))
+    succession.peers = listener
     watch = functools.partial(for_good, "watch", machines.watch, counters)
     tasks = [_background(watch())]
 
@@ -74,6 +89,7 @@
         renewed = _renewed(config, core)
         if renewed is not None:
             nodes.renew(renewed)
+            succession.renewed()
             if machines.move(renewed.discovery):
                 tasks.pop(0).cancel()
                 tasks.insert(0, _background(watch()))
@@ -86,10 +102,11 @@
     second = await _second_front(entry.grpc, core) if entry is not None and entry.grpc else None
     if desk is not None:
         await _listening(desk.start(core))
-    if config.admin is not None:
-        await _listening(console.start(*config.admin))
-    await _listening(front.start())
+    await _listening(front.start(before.listening, before.shared))
     phase.move("started", wheel.now())
+    if before.channel is not None and before.handed is not None:
+        succession.taken(before.channel, before.handed)
+    succession.open_door(place)
     gc.collect()
     gc.freeze()            # what stays for good need not be looked through again,
     gc.set_threshold(10000, 20, 20)      # nor the rest so often: a job leaves few cycles behind
@@ -99,7 +116,8 @@
         task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await task
-    console.stop()
+    succession.close()
+    await console.stop()
     if store is not None:
         await store.close()
     if desk is not None:
@@ -109,6 +127,37 @@
     print(counters.as_json(), file=sys.stderr, flush=True)
 
 
+class Before(NamedTuple):
+    """What the process that has our place has given; nothing where there is none."""
+
+    channel: Channel | None = None
+    handed: Handed | None = None
+    listening: socket.socket | None = None
+    peers: socket.socket | None = None
+    shared: bool = False       # it is there and gives nothing: its addresses can only be shared
+
+
+async def _before(place: Path | None, wheel: Wheel, succession: Succession) -> Before:
+    """Meets the process that has our place, if any, and takes over its state."""
+    channel: Channel | None = None
+    if place is None:
+        return Before(shared=True)
+    try:
+        channel = await find(place, wheel)
+        if channel is None:
+            return Before()
+        gc.collect()               # now, while it still serves
+        parcel = await take(channel)
+        handed = unpack(parcel.state)
+    except (HandoverError, HandedError) as error:
+        log.warning("the process that has our place does not give it (%s): its addresses are shared", error)
+        if channel is not None:
+            channel.close()
+        return Before(shared=True)
+    succession.install(handed)
+    return Before(channel, handed, parcel.listening, parcel.peers)
+
+
 def _renewed(config: Config, core: Core) -> Config | None:
     """The configuration read anew, its settings in use; None, and the old one holds, where it is no good."""
     counters = core.counters
--- /dev/null
+++ b/larklb/succession.py
@@ -0,0 +1,179 @@
+"""One limiter in two processes, the second of which takes the first one's place while both run.
+
+``net/handover.py`` says how they speak, ``handed.py`` what goes over.  Here is the order of it, on both
+sides.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+from dataclasses import replace
+from pathlib import Path
+
+from larklb.core import Core
+from larklb.handed import Handed, Place, install, pack, retired
+from larklb.net.execute import ExecuteNodes
+from larklb.net.front import Front
+from larklb.net.handover import GIVE, LINK, NO, TAKEN, Channel, Door, HandoverError, Parcel, give
+from larklb.net.http import Link
+from larklb.net.machines import Machine, Machines
+from larklb.net.peers import Peers
+from larklb.phase import Phase, State
+
+log = logging.getLogger(__name__)
+
+QUIET = 300.0              # ms in which the owners' words on jobs under way come, before the state goes over
+LOOK = 5.0
+
+
+class Succession:
+    """The part of one process in it: first perhaps the new one, later perhaps the old one."""
+
+    def __init__(self, core: Core, phase: Phase, machines: Machines, nodes: ExecuteNodes,
+                 front: Front) -> None:
+        self.core, self.phase, self.machines, self.nodes, self.front = core, phase, machines, nodes, front
+        self.wheel = core.wheel
+        self.peers: Peers | None = None
+        self.door: Door | None = None
+        self.before: Channel | None = None       # to the process that had our place
+        self.after: Channel | None = None        # to the one that has it now, or is about to
+        self.kept: tuple[socket.socket, socket.socket | None] | None = None
+        self.work: set[asyncio.Task[None]] = set()
+
+    def _do(self, work: object) -> None:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)   # type: ignore[arg-type]
+        self.work.add(task)
+        task.add_done_callback(self.work.discard)
+
+    # The new process ----------------------------------------------------------------------
+
+    def install(self, handed: Handed) -> None:
+        """The old process's state, before anything else has happened here."""
+        install(self.core.gateway, handed, self.wheel.now())
+        self.machines.restore({name: Machine((p.host, p.port), p.closed_at)
+                               for name, p in handed.places.items()},
+                              handed.offset, handed.generation, handed.discovery)
+
+    def taken(self, channel: Channel, handed: Handed) -> None:
+        """This process serves from now on; the old one sends its connections as they rest."""
+        if handed.draining:
+            self.phase.move("drain", self.wheel.now())
+        self.nodes.share(True)
+        self.before = channel
+        channel.listen(self._arrived, self._alone_here)
+        channel.send(TAKEN)
+        log.info("took the place of another process, with %d buckets", len(handed.buckets))
+
+    def _arrived(self, packet: bytes, fds: list[int]) -> None:
+        for fd in fds:
+            if packet[:1] == LINK:
+                self.core.counters.add("taken_over")
+                self._do(self._adopt(socket.socket(fileno=fd), packet[1:] == b"new"))
+            else:
+                os.close(fd)
+
+    async def _adopt(self, sock: socket.socket, new: bool) -> None:
+        try:
+            await self.front.adopt(sock, new)
+        except OSError:
+            sock.close()
+
+    def _alone_here(self) -> None:
+        self.before = None
+        self.nodes.share(False)
+
+    # The old process ----------------------------------------------------------------------
+
+    def open_door(self, path: Path | None) -> None:
+        """From now on another process may take our place."""
+        if path is None:
+            return
+        door = Door(path, self.wheel, self._met)
+        try:
+            door.open()
+        except OSError as error:
+            log.warning("no other process can take our place: %s", error)
+            return
+        self.door = door
+
+    def _met(self, channel: Channel) -> None:
+        def said(packet: bytes, fds: list[int]) -> None:
+            for fd in fds:
+                os.close(fd)
+            if packet != GIVE or self.after is not None or self.phase.state is State.STOPPING:
+                channel.send(NO, b"another process is taking over, or this one stops")
+                channel.close()
+                return
+            self.after = channel
+            asyncio.get_running_loop().remove_reader(channel.sock.fileno())
+            self._do(self._give(channel))
+
+        channel.listen(said, bool)
+
+    async def _give(self, channel: Channel) -> None:
+        listening, between = self.front.rest(), None
+        try:
+            until = self.wheel.now() + QUIET
+            while self.wheel.now() < until and any(
+                    h.asking is not None and not h.ended for h in self.core.gateway.held.values()):
+                await self.wheel.sleep(LOOK)
+            between = self.peers.release() if self.peers is not None else None
+            await give(channel, Parcel(self._state(), listening, between))
+        except (HandoverError, OSError) as error:
+            log.warning("the other process did not take our place: %s", error)
+            channel.close()
+            self.after = None
+            await self._go_on(listening, between)
+            return
+        self.kept = listening, between
+        self._retire()
+        self.nodes.retire(True)
+        channel.listen(lambda packet, fds: None, self._left_alone)
+        self.front.hand_on(self._pass_on)
+        log.info("another process has our place, %d jobs are under way here", len(self.core.jobs))
+
+    def _state(self) -> bytes:
+        machines = self.machines
+        return pack(self.core.gateway, draining=self.phase.state is State.DRAINING,
+                    generation=machines.generation, discovery=machines.where, offset=machines.offset,
+                    places={n: Place(*m.place, m.closed_at) for n, m in machines.of.items()})
+
+    def _retire(self) -> None:
+        gateway = self.core.gateway
+        gateway.s = replace(gateway.s, **retired(gateway.s))
+
+    def renewed(self) -> None:
+        """Other settings have been taken: a process that has handed over stays one."""
+        if self.kept is not None:
+            self._retire()
+
+    def _pass_on(self, link: Link) -> bool:
+        sock = link.writer.get_extra_info("socket")
+        return self.after is not None and self.after.send(LINK, b"new" if link.new else b"", (sock.fileno(),))
+
+    def _left_alone(self) -> None:
+        """The process that had taken our place has gone."""
+        kept, self.kept, self.after = self.kept, None, None
+        if kept is None or self.phase.state is State.STOPPING:
+            self.front.pass_on = None
+            return
+        log.error("the process that had taken our place has gone: we serve again")
+        self.core.counters.add("errors.succession")
+        self.core.gateway.s = self.core.settings
+        self.nodes.retire(False)
+        self._do(self._go_on(*kept))
+
+    async def _go_on(self, listening: socket.socket, between: socket.socket | None) -> None:
+        if self.peers is not None and between is not None:
+            await self.peers.open(between)
+        await self.front.go_on(listening)
+
+    def close(self) -> None:
+        if self.door is not None:
+            self.door.close()
+        for channel in (self.before, self.after):
+            if channel is not None:
+                channel.close()
--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -36,7 +36,7 @@
 
 def with_console(yard: Yard) -> int:
     port = free_port()
-    yard.environment["EDGE_ADMIN"] = f"127.0.0.1:{port}"
+    yard.limiters[0].environment["EDGE_ADMIN"] = f"127.0.0.1:{port}"
     return port
 
 
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,336 @@
+"""A second process takes the place of the first one under load; each step of it broken off."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from asyncio.subprocess import Process
+from collections import Counter
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from larklb import interface as io
+from larklb.decide import Gateway
+from larklb.handed import HandedError, Place, install, pack, unpack
+from larklb.net import handover
+from larklb.wheel import Wheel
+from tests.conftest import Bed, settings
+from tests.standins import ROOT, Yard, ask, job, read_answer, served
+from tests.test_daily import call, with_console
+
+HEALTH = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+async def beside(yard: Yard) -> tuple[Process, int]:
+    """The program started a second time, with another second address."""
+    port = with_console(yard)
+    env = {**os.environ, "EDGE_CONFIG": str(yard.limiters[0].config()), "PYTHONPATH": str(ROOT),
+           **yard.environment, **yard.limiters[0].environment}
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "larklb", "serve", env=env, stderr=asyncio.subprocess.PIPE), port
+
+
+async def says_yes(port: int, within: float = 20.0) -> float:
+    began = time.monotonic()
+    while time.monotonic() - began < within:
+        with suppress(OSError):
+            if (await call(port, b"READY\r\n"))[0].startswith("+OK"):
+                return time.monotonic() - began
+        await asyncio.sleep(0.02)
+    raise AssertionError("the second process is not ready")
+
+
+async def upgraded(yard: Yard) -> tuple[Process, int]:
+    """The old process, which has been told to stop, and the new one's second address."""
+    old = yard.limiters[0].process
+    assert old is not None
+    yard.limiters[0].process, port = await beside(yard)
+    await says_yes(port)
+    old.send_signal(signal.SIGTERM)
+    return old, port
+
+
+async def exits(process: Process, status: int = 0) -> str:
+    _, errors = await asyncio.wait_for(process.communicate(), 20)
+    assert process.returncode == status, errors.decode()
+    assert b"Traceback" not in errors, errors.decode()
+    return errors.decode()
+
+
+def yard_in(tmp_path: Path, **more: int) -> Yard:
+    yard = Yard(tmp_path, **more)         # type: ignore[arg-type]
+    yard.environment["TMPDIR"] = str(tmp_path)
+    return yard
+
+
+def test_nothing_is_lost_over_repeated_upgrades_under_load(tmp_path: Path) -> None:
+    """One answer each on connections that stay open, a burst of ten units that is spent once, no id twice."""
+    async def go() -> None:
+        yard = yard_in(tmp_path)
+        with_console(yard)
+        async with yard:
+            port, ended = yard.limiters[0].port, asyncio.Event()
+            heard: Counter[int] = Counter()
+            slow: Counter[int] = Counter()
+
+            async def submitter(n: int) -> None:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                while not ended.is_set():
+                    writer.write(job(service=("stock-check", "place-order")[n % 2], account=100 + n).encode())
+                    status, headers, _ = await asyncio.wait_for(read_answer(reader), 5)
+                    heard[status] += 1
+                    assert headers.get("connection") != "close"
+                writer.close()
+
+            async def spender() -> None:
+                while not ended.is_set():
+                    slow[(await ask(port, job(plan="slow", account=7)))[0]] += 1
+                    await asyncio.sleep(0.01)
+
+            tasks = [asyncio.create_task(submitter(n)) for n in range(8)]
+            tasks.append(asyncio.create_task(spender()))
+            for _ in range(3):
+                await asyncio.sleep(0.3)
+                old, _ = await upgraded(yard)
+                await exits(old)
+            ended.set()
+            await asyncio.gather(*tasks)
+            assert set(heard) == {200} and heard[200] > 200
+            assert set(slow) == {200, 429} and slow[200] == 10
+            assert set(yard.seen().values()) == {1}
+            assert await yard.limiters[0].stop() == 0
+            assert not list(tmp_path.glob("*.sock")), "the meeting place is left clean"
+    asyncio.run(go())
+
+
+def test_jobs_on_a_slow_node_are_finished_by_the_process_that_took_them(tmp_path: Path) -> None:
+    async def go() -> None:
+        yard = yard_in(tmp_path)
+        with_console(yard)
+        async with yard:
+            async def late(headers: dict[str, str], body: bytes) -> bytes:
+                await asyncio.sleep(2.0)
+                return await served(headers, body)
+
+            port = yard.limiters[0].port
+            for node in yard.nodes:
+                node.reply = late
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(job("00000000000000aa").encode())
+            await asyncio.sleep(0.3)
+            old, _ = await upgraded(yard)
+            assert (await ask(port, HEALTH))[0] == 200
+            assert (await read_answer(reader))[2] == b"done 00000000000000aa"
+            for node in yard.nodes:
+                node.reply = served
+            writer.write(job("00000000000000ab").encode())       # and the connection has gone over
+            assert (await read_answer(reader))[2] == b"done 00000000000000ab"
+            await exits(old)
+    asyncio.run(go())
+
+
+@pytest.mark.parametrize("step", ["hello", "give", "last", "garbage", "version"])
+def test_a_new_process_that_dies_on_its_way_changes_nothing(tmp_path: Path, step: str) -> None:
+    """The old one has stopped taking up work by then: it takes all up anew."""
+    async def go() -> None:
+        yard = yard_in(tmp_path)
+        with_console(yard)
+        async with yard:
+            limiter, wheel = yard.limiters[0], Wheel(4.0)
+            place = handover.meeting_place(limiter.name, ("127.0.0.1", limiter.port), yard.environment)
+            assert place is not None
+            reader, writer = await asyncio.open_connection("127.0.0.1", limiter.port)
+            writer.write(job().encode())
+            assert (await read_answer(reader))[0] == 200
+            if step == "version":
+                sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+                sock.connect(str(place))
+                sock.send(handover.HELLO + b"999")
+                await asyncio.sleep(0.2)
+                assert sock.recv(100).startswith(handover.NO)
+                sock.close()
+            else:
+                channel = await handover.find(place, wheel)
+                assert channel is not None
+                if step == "garbage":
+                    channel.send(b"x" * 100)
+                if step == "give":
+                    channel.send(handover.GIVE)
+                if step == "last":
+                    parcel = await handover.take(channel)
+                    assert unpack(parcel.state).version and parcel.peers is not None
+                channel.close()
+            await asyncio.sleep(0.4)
+            writer.write(job().encode())
+            assert (await asyncio.wait_for(read_answer(reader), 3))[0] == 200
+            assert (await ask(limiter.port, job()))[0] == 200
+            old, _ = await upgraded(yard)                # and the next one can take over
+            assert "has our place" in await exits(old)
+            assert (await ask(limiter.port, job()))[0] == 200
+    asyncio.run(go())
+
+
+def test_when_the_new_process_dies_before_the_old_one_is_told_that_one_serves_again(tmp_path: Path) -> None:
+    async def go() -> None:
+        yard = yard_in(tmp_path, limiters=2)
+        with_console(yard)
+        async with yard:
+            limiter = yard.limiters[0]
+            new, port = await beside(yard)
+            await says_yes(port)
+            assert (await ask(limiter.port, job()))[0] == 200
+            new.kill()
+            await new.wait()
+            await asyncio.sleep(0.3)
+            answers = [(await ask(limiter.port, job(plan="slow", account=n, spread=2)))[0] for n in range(8)]
+            assert answers == [200] * 8
+            counts = await limiter.counters()
+            assert counts["errors.succession"] == 1 and counts["peer.taken"] > 0
+            assert counts["taken.http.stock-check"] >= 8
+    asyncio.run(go())
+
+
+@pytest.mark.parametrize("how", ["stuck", "left over", "no folder", "gone at give", "silent"])
+def test_a_new_process_serves_whatever_became_of_the_old_one(tmp_path: Path, how: str) -> None:
+    async def go() -> None:
+        yard = yard_in(tmp_path)
+        with_console(yard)
+        if how == "no folder":
+            yard.environment["TMPDIR"] = str(tmp_path / "none")
+        async with yard:
+            limiter = yard.limiters[0]
+            place = handover.meeting_place(limiter.name, ("127.0.0.1", limiter.port), yard.environment)
+            old = limiter.process
+            assert old is not None
+            doors: list[handover.Door] = []
+            if how == "stuck":
+                old.send_signal(signal.SIGSTOP)
+            elif how == "left over":
+                old.kill()
+                await old.wait()
+                assert place is not None and place.exists()
+            elif how in ("gone at give", "silent"):
+                assert place is not None
+                ends = (lambda c: c.close()) if how == "gone at give" else (lambda c: None)
+                doors.append(handover.Door(place, Wheel(4.0), ends))
+                doors[0].open()
+            limiter.process, port = await beside(yard)
+            assert await says_yes(port) < 6.0
+            if how != "left over":
+                old.send_signal(signal.SIGKILL if how == "stuck" else signal.SIGTERM)
+                if how == "stuck":
+                    await old.wait()
+                else:
+                    await exits(old)
+            for door in doors:
+                door.close()
+            for _ in range(5):
+                assert (await ask(limiter.port, job()))[0] == 200
+    asyncio.run(go())
+
+
+def test_a_drain_goes_over_and_ends_at_the_new_process(tmp_path: Path) -> None:
+    async def go() -> None:
+        yard = yard_in(tmp_path)
+        port = with_console(yard)
+        async with yard:
+            assert (await call(port, b"DRAIN\n"))[0].startswith("+OK")
+            old = yard.limiters[0].process
+            assert old is not None
+            yard.limiters[0].process, port = await beside(yard)
+            while True:
+                with suppress(OSError):
+                    if (await call(port, b"READY\n"))[0] == "-ERR draining\r\n":
+                        break
+                await asyncio.sleep(0.05)
+            assert (await ask(yard.limiters[0].port, HEALTH))[0] == 503
+            old.send_signal(signal.SIGTERM)
+            await exits(old)
+            assert (await call(port, b"UNDRAIN\n"))[0].startswith("+OK")
+            assert (await ask(yard.limiters[0].port, HEALTH))[0] == 200
+    asyncio.run(go())
+
+
+def test_an_address_of_a_stranger_is_not_shared(tmp_path: Path) -> None:
+    """Sharing is for the process that has our place: two limiters under one address would be a mistake."""
+    async def go() -> None:
+        yard = yard_in(tmp_path)
+        with_console(yard)
+        async with yard:
+            with_console(yard)
+            env = {**os.environ, "EDGE_CONFIG": str(yard.limiters[0].config()), "PYTHONPATH": str(ROOT),
+                   **yard.environment, **yard.limiters[0].environment, "EDGE_NAME": "another"}
+            done = await asyncio.to_thread(subprocess.run, [sys.executable, "-m", "larklb", "serve"],
+                                           env=env, capture_output=True, timeout=20)
+            assert done.returncode == 1 and done.stderr.startswith(b"larklb: ")
+    asyncio.run(go())
+
+
+# The state that goes over -----------------------------------------------------------------
+
+
+def _state(bed: Bed) -> bytes:
+    return pack(bed.gateways[0], draining=False, generation=5, discovery=("127.0.0.1", 1), offset=7.0,
+                places={"s0": Place("127.0.0.1", 2, None)})
+
+
+def _used() -> Bed:
+    """A gateway with buckets, leases, copies, counts of its own and a server that has failed."""
+    bed = Bed(gateways=3, servers=3)
+    bed.serve = 30.0
+    for n in range(40):
+        bed.ask(n % 3, f"r{n}", customer=f"c{n % 7}")
+        bed.run(20)
+    bed.cut = True
+    for n in range(12):
+        bed.ask(0, f"x{n}", customer=f"c{n % 5}")
+        bed.run(200)
+    bed.cut = False
+    return bed
+
+
+def test_a_gateway_goes_on_with_what_another_had(tmp_path: Path) -> None:
+    bed = _used()
+    old = bed.gateways[0]
+    new = Gateway(settings(number=0, **bed.changes), 99, bed.now)
+    install(new, unpack(_state(bed)), bed.now)
+    assert old.buckets and old.leases and old.alone.copies and old.alone.settling.mine
+    assert new.buckets == old.buckets and new.leases == old.leases
+    assert new.alone.copies == old.alone.copies and new.alone.settling.mine == old.alone.settling.mine
+    assert new.alone.settling.incarnation == old.alone.settling.incarnation
+    assert {o: list(k) for o, k in new.alone.settling.open.items()} == {
+        o: list(k) for o, k in old.alone.settling.open.items()}
+    assert {n: s.marks for n, s in new.servers.items()} == {n: s.marks for n, s in old.servers.items()}
+    assert new.start(bed.now) and not any(isinstance(a, io.Tell) for a in new.actions), "it does not greet"
+
+
+def test_plans_and_classes_go_over_by_name(tmp_path: Path) -> None:
+    """The new process has another file: numbers differ, and what it does not know stays behind."""
+    bed = _used()
+    old, kept = bed.gateways[0], settings(number=0, **bed.changes)
+    turned = settings(number=0, plans=tuple(reversed(kept.plans)), classes=tuple(reversed(kept.classes)),
+                      **bed.changes)
+    new = Gateway(turned, 99, bed.now)
+    install(new, unpack(_state(bed)), bed.now)
+    for key, (plan, bucket) in old.buckets.items():
+        assert turned.plans[new.buckets[key][0]] == kept.plans[plan]
+        assert new.buckets[key][1] == bucket
+    none = Gateway(settings(number=0, plans=(io.Plan("other", 1.0, 1.0),), **bed.changes), 99, bed.now)
+    install(none, unpack(_state(bed)), bed.now)
+    assert not none.buckets and not none.alone.copies and not none.alone.settling.mine and not none.leases
+
+
+def test_a_state_that_is_cut_or_of_another_version_is_not_taken() -> None:
+    state = _state(_used())
+    for at in range(0, len(state), 7):
+        with pytest.raises(HandedError):
+            unpack(state[:at])
+    with pytest.raises(HandedError, match="version"):
+        unpack(state.replace(b"\xa7version\x01", b"\xa7version\x02", 1))
