--- a/larklb/core.py
+++ b/larklb/core.py
@@ -157,6 +157,25 @@
         self.feed(io.ClientGone(job.id))
         job.put(io.Fail(job.id))
 
+    def spent(self, job: Job) -> None:
+        """What the job brings cannot be sent again."""
+        self.feed(io.Spent(job.id))
+
+    def owed_by(self, job: Job, due: float) -> None:
+        """The job's last byte has come: its time runs from now."""
+        job.due = due
+        if job.overdue is not None:
+            job.overdue.cancel()
+            job.overdue = self.wheel.after(due - self.wheel.now() + 2 * self.settings.tick,
+                                           self._overdue, job)
+
+    def began(self, job: Job, server: str, took: float) -> None:
+        """The first bytes of its answer go out: from here on it has no deadline and no other attempt."""
+        job.stop = None
+        if job.overdue is not None:
+            job.overdue.cancel()
+        self.feed(io.StreamStarted(job.id, job.attempts - 1, server, took))
+
     def outcome(self, job: Job, server: str, result: io.Result, took: float, spoilt: bool = False,
                 stale: bool = False) -> None:
         number, job.attempts, job.stop = job.attempts - 1, job.attempts, None
--- a/larklb/decide.py
+++ b/larklb/decide.py
@@ -144,7 +144,9 @@
             case io.ClientGone() if event.request in self.held:
                 self._gone(now, self.held[event.request])
             case io.StreamStarted() if event.request in self.held:
-                self.held[event.request].ended = True
+                self._started(now, self.held[event.request])
+            case io.Spent() if event.request in self.held:
+                self.held[event.request].spent = True
         for peer in [p for p, at in self.dirty.items() if at <= now]:
             self._flush(now, peer)
         return self.actions
@@ -683,7 +685,7 @@
         """An attempt at a server that looks silent or slow is moved (or copied) while there is time."""
         attempt = h.attempts[index]
         usual = self.usual[h.cls.name]
-        if (h.ended or not attempt.out or not index + 1 == len(h.attempts) < self.s.max_attempts
+        if (h.ended or h.spent or not attempt.out or not index + 1 == len(h.attempts) < self.s.max_attempts
                 or now + usual > h.came + h.cls.aim):
             return
         suspect = attempt.server.slowness(now, usual, self._topics(h)) >= SUSPECT * self._median(now, h)
@@ -697,6 +699,14 @@
             return
         self._after(h.cls.aim * PATIENCE_AIM / 2, lambda t: self._review(t, h, index))
 
+    def _started(self, now: float, h: Held) -> None:
+        """Its answer flows: nothing follows it, and its server, whose work is done, has room for another."""
+        h.ended = True
+        for attempt in h.attempts:
+            if attempt in attempt.server.attempts:
+                attempt.server.attempts.remove(attempt)
+        self._pump(now)
+
     def _outcome(self, now: float, e: io.Outcome) -> None:
         h = self.held.get(e.request)
         if h is None or e.attempt >= len(h.attempts) or not h.attempts[e.attempt].out:
@@ -705,7 +715,8 @@
         server, usual = attempt.server, self.usual[h.cls.name]
         attempt.out = False
         attempt.may_have_run = e.result not in io.NEVER_RAN
-        server.attempts.remove(attempt)
+        if attempt in server.attempts:
+            server.attempts.remove(attempt)
         self._learn(now, h, server, e, usual)
         if e.complete or h.ended:
             self._over(now, h, e.true_units)
@@ -736,7 +747,7 @@
         if h.ended or h.out():
             return
         ran, last = h.ran(), h.due if h.cls.late_worth else h.came + h.cls.aim
-        if (now >= min(last, h.due - 2 * self.s.tick) or len(h.attempts) >= self.s.max_attempts
+        if (h.spent or now >= min(last, h.due - 2 * self.s.tick) or len(h.attempts) >= self.s.max_attempts
                 or ran and not any(self._may_follow(h, ran, s, now) for s in self.up)):
             self._answer(now, h)
         else:
--- a/larklb/interface.py
+++ b/larklb/interface.py
@@ -215,6 +215,13 @@
     request: str
 
 
+@dataclass(frozen=True)
+class Spent:
+    """What a request brings cannot be sent a second time: the attempt that is out is its last."""
+
+    request: str
+
+
 @dataclass(frozen=True)
 class ProbeResult:
     server: str
@@ -237,7 +244,7 @@
 
 
 Event = (Request | ServerList | Timer | Outcome | StreamStarted | ClientGone | ProbeResult
-         | PeerMessage | CounterResult)
+         | Spent | PeerMessage | CounterResult)
 
 
 # Actions ------------------------------------------------------------------------------
--- a/larklb/net/execute.py
+++ b/larklb/net/execute.py
@@ -7,15 +7,18 @@
 import logging
 import math
 from collections import defaultdict
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
 import h11
 
 from larklb import interface as io
 from larklb.core import Core, Job
-from larklb.net.http import Link, TooLongError, dial, finished
+from larklb.net.bulk import BrokenOffError, Sink, Upload
+from larklb.net.http import MOST_BODY, MOST_BULK, LateError, Link, TooLongError, dial, finished
 from larklb.net.machines import Machines
 from larklb.settings import Config
+from larklb.wheel import Timer
 
 log = logging.getLogger(__name__)
 
@@ -27,8 +30,11 @@
 FRESH_GROW = 1.02        # ... and grows so with each that was not
 SWEPT = 1000.0           # ms between looks for connections that are no longer used
 STALE_WITHIN = 20.0      # ms from the send to the reset of a connection that was closed before
-ANSWER_REST = 500.0      # ms for the rest of an answer that has begun, and ...
+ANSWER_REST = 500.0      # ms for the next piece of an answer that has begun, and ...
 REST_AIM = 1 / 3         # ... more where aims are long: this part of the least
+HOLD = 1000.0            # ms for which an answer is held that tells no length
+STALL = 20000.0          # ms without a piece taken or given, after which an answer that flows is broken off
+_OF_SUBMITTERS = (OSError, h11.RemoteProtocolError, LateError, TooLongError)
 _OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 GRACE_PART = 0.8         # of the drain grace is used, the rest is for what lies between us and the node
 
@@ -39,7 +45,8 @@
     method: bytes
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
-    body: bytes
+    body: bytes                          # all of it, or ...
+    upload: Upload | None = None         # ... where it comes in pieces
 
 
 class Ended(NamedTuple):
@@ -51,6 +58,8 @@
     body: bytes = b""
     spoilt: bool = False        # there was an answer, of no use
     stale: bool = False         # the connection had been closed before, or we had no means for one
+    streamed: bool = False      # its answer has gone out in pieces, ...
+    whole: bool = True          # ... all of it
 
 
 class Place(NamedTuple):
@@ -171,17 +180,19 @@
 
     # Attempts -----------------------------------------------------------------------------
 
-    async def attempt(self, job: Job, send: io.Send, content: Content) -> Ended:
-        """One attempt, from the choice of a connection to its one outcome."""
+    async def attempt(self, job: Job, send: io.Send, content: Content, sink: Sink) -> Ended:
+        """One attempt, from the choice of a connection to its one outcome.
+
+        An answer that is too long to be held goes to ``sink``."""
         started = self.wheel.now()
         job.attempts += 1
         machine = self.machines.of.get(send.server)
         left = min(job.due - started, send.timeout or job.due - started)
         if machine is None or left <= 0:
             return Ended(io.Result.MOOT, 0.0)
-        place, attempt = Place(send.server, machine.place), _Attempt()
+        place, attempt = Place(send.server, machine.place), _Attempt(send.server, started)
         job.stop = attempt.stop
-        timer = self.wheel.after(left, attempt.stop, io.Result.TIMEOUT)
+        attempt.timer = self.wheel.after(left, attempt.stop, io.Result.TIMEOUT)
         link: Link | None = None
         kept = False
         try:
@@ -203,49 +214,128 @@
                 return Ended(io.Result.MOOT, self.wheel.now() - started)
             attempt.link = link
             wait = max(0.001, (started + left - self.wheel.now()) / 1000.0)
-            link.write(h11.Request(method=content.method, target=content.target, headers=[
-                (b"Host", b"service.internal"), *content.headers, (b"X-Time-Left", b"%.3f" % wait)]),
-                content.body)
-            ended = await self._answer(link, attempt, started, job)
+            head = h11.Request(method=content.method, target=content.target, headers=[
+                (b"Host", b"service.internal"), *content.headers, (b"X-Time-Left", b"%.3f" % wait)])
+            if content.upload is None:
+                link.write(head, content.body)
+                ended = await self._answer(link, attempt, job, sink)
+            else:
+                ended = await self._carried(link, attempt, job, sink, head, content.upload)
             if rest is not None and ended.result in (io.Result.OK, io.Result.RESET) and not ended.spoilt:
                 stale = ended.result is io.Result.RESET and ended.took < STALE_WITHIN
                 self._learn_fresh(rest, stale)
                 if stale:
                     self.core.counters.add("errors.stale_connection")
                 ended = ended._replace(stale=stale)
-            if ended.result in (io.Result.OK, io.Result.ERROR, io.Result.FULL):
+            if ended.result in (io.Result.OK, io.Result.ERROR, io.Result.FULL) and ended.whole:
                 kept = True
                 self._keep(place, link)
             return ended
         finally:
-            timer.cancel()
+            attempt.timer.cancel()
             job.stop = None
             if link is not None and not kept:
                 self._end(link)
 
-    async def _answer(self, link: Link, attempt: _Attempt, started: float, job: Job) -> Ended:
-        unsent, got, rest = True, None, []
+    async def _carried(self, link: Link, attempt: _Attempt, job: Job, sink: Sink, head: h11.Request,
+                       upload: Upload) -> Ended:
+        """An attempt whose body flows.  An answer may come before its end; the body is broken off then."""
+        sending = asyncio.ensure_future(self._carry(link, attempt, job, head, upload))
+        answering = asyncio.ensure_future(self._answer(link, attempt, job, sink, sending))
         try:
-            await link.writer.drain()            # returns once the last byte has left
-            unsent = False
-            self.core.counters.add("sent")
-            self.core.counters.add(f"sent.{job.request.service}")
-            if job.ticket is not None:
-                job.ticket.whole = True
-            got = await link.read(begun=lambda: rest.append(
-                self.wheel.after(self.rest, attempt.spoil, "it does not end")))
+            await asyncio.wait((sending, answering), return_when=asyncio.FIRST_COMPLETED)
+            if sending.done() and sending.exception() is not None:
+                attempt.stop(io.Result.CONNECT_FAILED)      # its last byte never left: it has not run
+            ended = await answering
+        finally:
+            answering.cancel()
+            if not sending.done():
+                sending.cancel()
+            await asyncio.wait((sending, answering))
+        if not sending.cancelled() and isinstance(error := sending.exception(), _OF_SUBMITTERS):
+            raise BrokenOffError from error
+        if sending.cancelled() or sending.exception() is not None:
+            return ended._replace(whole=False)
+        return ended
+
+    async def _carry(self, link: Link, attempt: _Attempt, job: Job, head: h11.Request,
+                     upload: Upload) -> None:
+        link.writer.write(link.http.send(head) or b"")
+        async for part in upload.pieces():
+            data = link.http.send(h11.Data(data=part))
+            try:
+                link.writer.write(data or b"")
+                await link.writer.drain()
+            except OSError as error:
+                raise _NodeError from error
+        link.writer.write(link.http.send(h11.EndOfMessage()) or b"")
+        attempt.timer.cancel()
+        attempt.timer = self.wheel.after(job.due - self.wheel.now(), attempt.stop, io.Result.TIMEOUT)
+
+    async def _answer(self, link: Link, attempt: _Attempt, job: Job, sink: Sink,
+                      sending: asyncio.Future[None] | None = None) -> Ended:
+        """What comes back.  Between two pieces of an answer that is held lies no more than ``rest``."""
+        unsent, head, body = True, None, b""
+        began = attempt.began
+        rest: list[Timer] = []
+        reading: asyncio.Future[Any] | None = None
+
+        def more() -> None:
+            for timer in rest:
+                timer.cancel()
+            rest[:] = [self.wheel.after(self.rest, attempt.spoil, "it does not end")]
+
+        try:
+            if sending is None:
+                await link.writer.drain()            # returns once the last byte has left
+                unsent = False
+                self._written(job)
+            else:
+                reading = asyncio.ensure_future(link.head(more))
+                await asyncio.wait((reading, sending), return_when=asyncio.FIRST_COMPLETED)
+                if sending.done() and sending.exception() is None:
+                    unsent, began = False, self.wheel.now()
+                    self._written(job)
+                head = await reading
+                if head is not None and unsent:
+                    # It cannot have run yet: a good answer to half a request is none.  (Both ends may have
+                    # come to us in one turn of the loop.)
+                    await asyncio.wait((sending,), timeout=0.05)
+                    if sending.done() and sending.exception() is None:
+                        unsent, began = False, self.wheel.now()
+                        self._written(job)
+                    elif head.status_code == 200:
+                        raise h11.RemoteProtocolError("it came before its request was whole")
+            head = head or await link.head(more)
+            if head is not None and head.status_code == 200:
+                if (link.length or 0) > MOST_BULK:
+                    raise TooLongError
+                took = self.wheel.now() - began
+                body, whole = await self._held(link, more)
+                for timer in rest:
+                    timer.cancel()
+                if not whole and attempt.result is None:
+                    attempt.timer.cancel()
+                    return await self._passed(link, attempt, job, sink, head, body, took)
+            elif head is not None:
+                while await link.piece(more) is not None:
+                    if link.size > MOST_BODY:
+                        raise TooLongError
         except OSError:
-            pass
+            head = None
         except (h11.RemoteProtocolError, TooLongError) as error:
+            head = None
             if not link.reader.ended():
                 attempt.spoil(str(error) or "it is too long")
         finally:
+            if reading is not None:
+                reading.cancel()
             for timer in rest:
                 timer.cancel()
-        took = self.wheel.now() - started
+        took = self.wheel.now() - began
         if attempt.result is not None:
             return Ended(attempt.result, took)
-        if got is None:
+        if head is None:
             # Broken before the last byte left: it cannot have run.  After that, or with an answer that
             # nobody can read, it may have.
             if attempt.spoilt:
@@ -253,20 +343,75 @@
                 log.info("a spoilt answer: %s", attempt.spoilt)
             result = io.Result.CONNECT_FAILED if unsent else io.Result.RESET
             return Ended(result, took, spoilt=bool(attempt.spoilt))
-        head, body = got
         if head.status_code == 200:
-            kind = next((v for n, v in head.headers if n == b"content-type"), b"application/octet-stream")
-            return Ended(io.Result.OK, took, kind, body)
+            return Ended(io.Result.OK, took, _kind(head), body)
         unseen = head.status_code in (503, 504) and (b"x-unprocessed", b"1") in list(head.headers)
         return Ended(io.Result.FULL if unseen else io.Result.ERROR, took)
 
+    def _written(self, job: Job) -> None:
+        """An attempt's last byte has left."""
+        self.core.counters.add("sent")
+        self.core.counters.add(f"sent.{job.request.service}")
+        if job.ticket is not None:
+            job.ticket.whole = True
+
+    async def _held(self, link: Link, more: Callable[[], object]) -> tuple[bytes, bool]:
+        """As much of an answer as may be held, and whether that is all of it."""
+        parts: list[bytes] = []
+        until = self.wheel.now() + HOLD
+        while link.length is None or link.length <= MOST_BODY:
+            part = await link.piece(more)
+            if part is None:
+                return b"".join(parts), True
+            parts.append(part)
+            if link.length is None and (link.size > MOST_BODY or self.wheel.now() > until):
+                break
+        return b"".join(parts), False
+
+    async def _passed(self, link: Link, attempt: _Attempt, job: Job, sink: Sink, head: h11.Response,
+                      first: bytes, took: float) -> Ended:
+        """The rest of an answer, piece by piece; who stops taking it, or giving it, ends it."""
+        self.core.began(job, attempt.server, took)
+        self.core.counters.add("streamed")
+        stall = self.wheel.after(STALL, link.abort)
+        whole = False
+        try:
+            await sink.begin(_kind(head), link.length)
+            part: bytes | None = first
+            while part is not None:
+                if part:
+                    await sink.piece(part)
+                stall.cancel()
+                stall = self.wheel.after(STALL, link.abort)
+                part = await link.piece()
+                if link.size > MOST_BULK:
+                    raise TooLongError
+            await sink.end()
+            whole = True
+        except (OSError, h11.ProtocolError, TooLongError) as error:
+            self.core.counters.add("errors.streamed")
+            log.info("an answer was broken off: %s", error or type(error).__name__)
+        finally:
+            stall.cancel()
+        return Ended(io.Result.OK, took, streamed=True, whole=whole)
+
+
+def _kind(head: h11.Response) -> bytes:
+    return next((v for n, v in head.headers if n == b"content-type"), b"application/octet-stream")
+
+
+class _NodeError(Exception):
+    """The execute node's connection broke under a body."""
+
 
 class _Attempt:
     """The handle by which an attempt that is out is ended before its answer."""
 
-    __slots__ = ("result", "link", "dialling", "spoilt", "ours")
+    __slots__ = ("result", "link", "dialling", "spoilt", "ours", "timer", "began", "server")
 
-    def __init__(self) -> None:
+    def __init__(self, server: str, began: float) -> None:
+        self.server, self.began = server, began
+        self.timer = Timer(bool, ())  # ends it when its time is up
         self.result: io.Result | None = None
         self.link: Link | None = None
         self.dialling: asyncio.Future[Link] | None = None
--- a/larklb/net/front.py
+++ b/larklb/net/front.py
@@ -17,9 +17,10 @@
 from larklb import interface as io
 from larklb.core import Core, Job
 from larklb.fields import MalformedError, account, decimal, quota_info
+from larklb.net.bulk import BrokenOffError, Upload
 from larklb.net.console import MOST_AT_ONCE
 from larklb.net.execute import Content, Ended, ExecuteNodes
-from larklb.net.http import MOST_BODY, Link, TooLongError, WatchedReader
+from larklb.net.http import MOST_BODY, MOST_BULK, LateError, Link, TooLongError, WatchedReader
 from larklb.phase import Phase
 from larklb.settings import Config
 
@@ -30,7 +31,10 @@
 ACCEPTED = 16              # at once: asyncio takes in as many, each with a descriptor, before we are asked
 BACKLOG = 512              # connections that wait to be taken in
 MOST_TIME_S = 600.0        # that a submitter may say it waits
-HALF_MESSAGE = 2400.0      # ms for a first message, from its connect on, and for the rest of a later one
+HALF_MESSAGE = 2400.0      # ms for a first head, from its connect on, and for the rest of a later one; ...
+SLOWEST = 64.0             # ... for a body as many, and one for each so many bytes of it
+STALL = 20000.0            # ms for a submitter to take a piece of a long answer
+FLOOD = 16                 # requests behind one that is not answered yet: more are no submitter's
 IDLE = 10000.0             # ms without a job after which a connection goes, sooner if there is no room
 MAY_CLOSE = 2000.0         # ms without a job after which nobody minds
 JUST_NOW = 5.0             # ms in which a new connection's first message may still be on its way
@@ -39,7 +43,7 @@
 LINGER = 700.0             # ms after SIGTERM in which what still arrives is taken
 READ_AWAY = 3000.0         # ms in which what arrives after a refusal to read on is thrown away ...
 MOST_READS = 64            # ... in so many reads
-_UNREAD = (400, 413, 431, 501)         # more of such a message may be on its way
+_UNREAD = (400, 408, 413, 431, 501)    # more of such a message may be on its way
 _NEEDED = (b"x-correlation-id", b"x-service-class", b"plan", b"account", b"x-time-left", b"quota-info")
 _ID = re.compile(r"[!-~]{1,128}")
 _PASSED = (b"x-correlation-id", b"idempotency-key", b"x-service-class", b"content-type")
@@ -53,8 +57,11 @@
     close: bool = False
 
 
-def parse(head: h11.Request, body: bytes, now: float, core: Core) -> tuple[io.Request, Content]:
-    """The job in a message; only what the decisions need is taken out of it."""
+def parse(head: h11.Request, body: bytes, now: float, core: Core,
+          upload: Upload | None = None) -> tuple[io.Request, Content]:
+    """The job in a message; only what the decisions need is taken out of it.
+
+    With an ``upload`` its time begins when that is whole: until then it is due as late as its body may be."""
     headers = dict(head.headers)
     if len(head.headers) > len(headers) and any(
             sum(n == name for n, _ in head.headers) > 1 for name in (*_NEEDED, *_PASSED)):
@@ -67,7 +74,10 @@
     cls = core.classes.get(service)
     if cls is None or plan not in core.plans:
         raise MalformedError("unknown class or plan")
-    path = head.target.partition(b"?")[0].split(b"/")
+    target = head.target
+    if target.lower().startswith(b"http://"):        # told whole, as to a proxy: a node is told its own part
+        target = b"/" + target.split(b"/", 3)[3] if target.count(b"/") > 2 else b"/"
+    path = target.partition(b"?")[0].split(b"/")
     if len(path) < 2 or path[0] or path[1] != service.encode():
         raise MalformedError("the path does not begin with the class")
     if head.method != (b"GET" if cls.repeat is io.Repeat.SAFE else b"POST"):
@@ -82,14 +92,24 @@
     if not 0 < wait <= MOST_TIME_S:
         raise MalformedError("x-time-left makes no sense")
     units, spread, first = quota_info(info, core.settings)
+    later = upload_time(upload) if upload is not None else 0.0
     request = io.Request(request=name, service=service, plan=plan, customer=account(customer),
                          # A class says how long a client waits in all.  Who says more would have its job,
                          # and what is kept of it here and at the owner, stay for minutes.
-                         due=now + min(wait * 1000.0, cls.deadline), units=units, first=first, spread=spread)
+                         due=now + min(wait * 1000.0, cls.deadline) + later, units=units, first=first,
+                         spread=spread)
     passed = tuple((n, headers[n]) for n in _PASSED if n in headers)
-    if body or head.method == b"POST":
-        passed += ((b"Content-Length", b"%d" % len(body)),)
-    return request, Content(head.method, head.target, passed, body)
+    if upload is not None and upload.length is None:
+        passed += ((b"Transfer-Encoding", b"chunked"),)
+    elif body or head.method == b"POST":
+        passed += ((b"Content-Length", b"%d" % (len(body) if upload is None else upload.length or 0)),)
+    return request, Content(head.method, target, passed, body, upload)
+
+
+def upload_time(upload: Upload) -> float:
+    """The longest that the rest of a body may take, in ms."""
+    rest = MOST_BULK if upload.length is None else upload.length
+    return HALF_MESSAGE + (rest - len(upload.first)) / SLOWEST
 
 
 def refusal(action: io.Refuse) -> Answer:
@@ -229,14 +249,29 @@
             self._let_go()
         for link in list(self.links):
             if link.busy:
+                if link.in_body() and link.waits_since and self._too_slow(link, now):
+                    link.reader.give_up()
                 continue
             if not link.more():
                 link.begun = 0.0
             elif not link.begun:
                 link.begun = now
-            if now - (link.begun or link.since) > (HALF_MESSAGE if link.new or link.begun else IDLE):
+            if link.in_body():
+                if self._too_slow(link, now):
+                    self.core.counters.add("errors.half_message")
+                    link.reader.give_up()
+            elif now - (link.begun or link.since) > (HALF_MESSAGE if link.new or link.begun else IDLE):
                 self.core.counters.add("errors.half_message" if link.more() else "closed.idle")
-                self._close(link)
+                if link.more():
+                    link.reader.give_up()            # it is told so, and closed
+                else:
+                    self._close(link)
+
+    @staticmethod
+    def _too_slow(link: Link, now: float) -> bool:
+        """Whether a body has been waited for longer than the slowest may take."""
+        waited = link.waited + (now - link.waits_since if link.waits_since else 0.0)
+        return waited > HALF_MESSAGE + link.size / SLOWEST
 
     def _close(self, link: Link) -> None:
         """Ends a connection that carries no job; its descriptor is free as soon as the loop comes round."""
@@ -297,18 +332,31 @@
             if self.resting:
                 link.pause()
         try:
-            got = await link.read()
-            self._taken_up(link)
-            if got is None:
+            head = await link.head()
+            if head is None:
                 return False
-            if link.more():
-                # One request at a time: what comes behind one may be another's, hidden, or a flood.
-                raise h11.RemoteProtocolError("a request came before the answer to another", 400)
-            return await self._answer(link, *got)
+            if (link.length or 0) > MOST_BULK:
+                raise TooLongError
+            parts, whole = [], False
+            while not whole and link.size < MOST_BODY:
+                part = await link.piece()
+                whole = part is None
+                parts.append(part or b"")
+            whole = whole or link.length == link.size and await link.piece() is None
+            self._taken_up(link)
+            if whole and link.behind() > FLOOD:
+                raise h11.RemoteProtocolError("a flood of requests before the answer to one", 400)
+            return await self._answer(link, head, b"".join(parts), whole)
+        except LateError:
+            if not link.may_answer():
+                return False             # it has had its answer
+            answer = Answer(408, b"it came too slowly", close=True)
         except TooLongError:
+            if not link.may_answer():
+                return False
             answer = Answer(413, close=True)
         except h11.RemoteProtocolError as error:
-            if link.reader.ended():
+            if link.reader.ended() or not link.may_answer():
                 return False
             answer = Answer(error.error_status_hint, str(error).encode(), close=True)
         self._taken_up(link)
@@ -316,16 +364,15 @@
 
     async def _reply(self, link: Link, answer: Answer) -> bool:
         """Writes an answer to its last byte; whether the connection can carry another message."""
-        if answer.status in (400, 409, 413):
+        if answer.status in (400, 408, 409, 413):
             self.core.counters.add("malformed")
-        close = answer.close or self.phase.leaving and self.pass_on is None
-        if link.new and len(self.idle) >= self.kept:
-            # Many ask once and stay.  They may hold so many connections and no more: then nobody can ask.
-            close = True
+        close = answer.close or self.closes(link)
         self._write(link, answer, close)
         await link.writer.drain()
         if answer.status in _UNREAD and answer.close:
             await self._read_away(link)
+            return False
+        await self._body_away(link)
         return not close and link.again()
 
     def _taken_up(self, link: Link) -> None:
@@ -342,6 +389,18 @@
                 break
         timer.cancel()
 
+    async def _body_away(self, link: Link) -> None:
+        """The rest of a body that nobody wants any more: its sender may read the answer only behind it."""
+        while link.in_body() and await link.piece() is not None:
+            if link.size > MOST_BULK:
+                raise TooLongError
+
+    def closes(self, link: Link) -> bool:
+        """Whether the connection ends with the answer that goes out now."""
+        # Many ask once and stay.  They may hold so many connections and no more: then nobody can ask.
+        many = link.new and len(self.idle) >= self.kept
+        return many or self.phase.leaving and self.pass_on is None
+
     def _write(self, link: Link, answer: Answer, close: bool) -> None:
         headers = [(b"Content-Type", answer.kind), (b"Content-Length", b"%d" % len(answer.body))]
         if answer.retry_after > 0:
@@ -350,20 +409,21 @@
             headers.append((b"Connection", b"close"))
         link.write(h11.Response(status_code=answer.status, headers=headers), answer.body)
 
-    async def _answer(self, link: Link, head: h11.Request, body: bytes) -> bool:
+    async def _answer(self, link: Link, head: h11.Request, body: bytes, whole: bool) -> bool:
         """Answers a message; whether the connection can carry another."""
         if head.method == b"GET" and head.target == b"/healthz":
             return await self._reply(link, Answer(200 if self.phase.ready else 503))
         if head.method == b"GET" and head.target == b"/counters":
             counts = self.core.counters.as_json().encode()
             return await self._reply(link, Answer(200, counts, b"application/json"))
+        upload = None if whole else Upload(link, body)
         try:
-            request, content = parse(head, body, self.wheel.now(), self.core)
+            request, content = parse(head, body, self.wheel.now(), self.core, upload)
         except MalformedError as error:
-            return await self._reply(link, Answer(400, str(error).encode()))
+            return await self._reply(link, Answer(400, str(error).encode(), close=not whole))
         if request.request in self.core.jobs:
             # The same id twice at once would put two attempts of one request out together.
-            return await self._reply(link, Answer(409, b"this request is already in work"))
+            return await self._reply(link, Answer(409, b"this request is already in work", close=not whole))
         return await self._life(link, request, content)
 
     async def _life(self, link: Link, request: io.Request, content: Content) -> bool:
@@ -371,12 +431,17 @@
         counters = self.core.counters
         counters.add(f"taken.http.{request.service}")
         job, word = None, "nobody"
+        sink = AnswerSink(self, link)
         try:
             job = self.core.take(request)
             link.reader.on_end = functools.partial(self.core.gone, job)
             if link.reader.ended():
                 self.core.gone(job)
-            answer, word = await self._decided(job, content)
+            if content.upload is not None:
+                wait = request.due - upload_time(content.upload) - self.wheel.now()
+                content.upload.tell(functools.partial(self.core.spent, job),
+                                    lambda: self.core.owed_by(job, self.wheel.now() + wait))
+            answer, word = await self._decided(job, content, sink)
         except Exception:
             # A failure of our own costs this job alone; what it had out is closed by the attempt itself.
             log.exception("job %s failed", request.request)
@@ -390,7 +455,13 @@
                 job.overdue.cancel()
             if job is not None and job.gone and word != "failed":
                 word = "nobody"
-            return await self._reply(link, answer)
+            if answer is not None:
+                return await self._reply(link, answer)
+            if sink.whole:
+                await self._body_away(link)
+                return not sink.close and link.again()
+            self._close(link)             # so that the submitter can tell that its answer is not whole
+            return False
         except OSError:
             word = "nobody"
             raise
@@ -401,12 +472,19 @@
             counters.add(f"answered.{word}")
             counters.add(f"class.{word}.{request.service}")
 
-    async def _decided(self, job: Job, content: Content) -> tuple[Answer, str]:
+    async def _decided(self, job: Job, content: Content, sink: AnswerSink) -> tuple[Answer | None, str]:
+        """The job's answer, None where it has gone out already, and the word that it is counted under."""
         while True:
             match action := await job.next():
                 case io.Send():
-                    ended: Ended = await self.nodes.attempt(job, action, content)
+                    try:
+                        ended: Ended = await self.nodes.attempt(job, action, content, sink)
+                    except BrokenOffError as error:
+                        self.core.outcome(job, action.server, io.Result.CONNECT_FAILED, 0.0, stale=True)
+                        return _broken_off(error.__cause__), "failed"
                     self.core.outcome(job, action.server, ended.result, ended.took, ended.spoilt, ended.stale)
+                    if ended.streamed:
+                        return None, "served" if ended.whole else "failed"
                     if ended.result is io.Result.OK:
                         return Answer(200, ended.body, ended.kind), "served"
                     if job.gone:
@@ -415,3 +493,49 @@
                     return refusal(action), "refused"
                 case _:
                     return Answer(502, close=job.gone), "nobody" if job.gone else "failed"
+
+
+def _broken_off(error: BaseException | None) -> Answer:
+    """What a submitter is told whose body failed in the middle, if it is still there."""
+    if isinstance(error, LateError):
+        return Answer(408, b"its body came too slowly", close=True)
+    if isinstance(error, TooLongError):
+        return Answer(413, close=True)
+    return Answer(400, b"its body broke off", close=True)
+
+
+class AnswerSink:
+    """A long answer on its way to a submitter."""
+
+    def __init__(self, front: Front, link: Link) -> None:
+        self.front, self.link = front, link
+        self.close = self.whole = False
+
+    async def begin(self, kind: bytes, length: int | None) -> None:
+        self.close = self.front.closes(self.link)
+        headers = [(b"Content-Type", kind)]
+        headers.append((b"Transfer-Encoding", b"chunked") if length is None
+                       else (b"Content-Length", b"%d" % length))
+        if self.close:
+            headers.append((b"Connection", b"close"))
+        self._write(h11.Response(status_code=200, headers=headers))
+
+    async def piece(self, data: bytes) -> None:
+        self._write(h11.Data(data=data))
+        await self._out()
+
+    async def end(self) -> None:
+        self._write(h11.EndOfMessage())
+        await self._out()
+        self.whole = True
+
+    def _write(self, event: h11.Event) -> None:
+        self.link.writer.write(self.link.http.send(event) or b"")
+
+    async def _out(self) -> None:
+        """A submitter may be slow, and not for good."""
+        timer = self.front.wheel.after(STALL, self.link.abort)
+        try:
+            await self.link.writer.drain()
+        finally:
+            timer.cancel()
--- a/larklb/net/http.py
+++ b/larklb/net/http.py
@@ -17,14 +17,20 @@
 if TYPE_CHECKING:
     import ssl
 
-MOST_BODY = 64 * 1024
-MOST_FRAMING = 32 * 1024       # of a message is not its body: its head, 1xx answers ahead of it, chunk sizes
+MOST_BODY = 64 * 1024          # is held whole; more flows in pieces
+MOST_BULK = 33 * 1024 * 1024   # of a body or an answer, and no more
+MOST_FRAMING = 96 * 1024       # of a message is not its body: its head, 1xx answers ahead of it, ...
+FRAMING = 16                   # ... and chunk sizes: so many bytes for each of a body that is cut small
 BUFFER = 32 * 1024             # bytes that wait unread before the other side is told to wait
 _CHUNK = 64 * 1024
 
 
 class TooLongError(Exception):
-    """A body exceeds what the protocol allows."""
+    """A body exceeds what is allowed."""
+
+
+class LateError(Exception):
+    """The other side was given up: it sends too slowly."""
 
 
 class WatchedReader(asyncio.StreamReader):
@@ -35,6 +41,7 @@
 
     on_end: Callable[[], object] | None = None
     quiet = False
+    late = False
 
     def __init__(self) -> None:
         super().__init__(limit=BUFFER, loop=asyncio.get_running_loop())
@@ -57,6 +64,11 @@
             tell, self.on_end = self.on_end, None
             tell()
 
+    def give_up(self) -> None:
+        """Whoever waits for more finds that it is late."""
+        self.late = True
+        self._wakeup_waiter()               # type: ignore[attr-defined]
+
     def waiting(self) -> bool:
         """Whether bytes have come that nobody has read."""
         return bool(self._buffer)           # type: ignore[attr-defined]
@@ -68,7 +80,8 @@
 class Link:
     """One connection: its streams and its h11 state."""
 
-    __slots__ = ("reader", "writer", "http", "since", "begun", "new", "busy")
+    __slots__ = ("reader", "writer", "http", "since", "begun", "new", "busy", "taken", "size", "length",
+                 "waited", "waits_since", "cut")
 
     def __init__(self, reader: WatchedReader, writer: asyncio.StreamWriter, role: Any) -> None:
         self.reader, self.writer = reader, writer
@@ -77,52 +90,98 @@
         self.begun = 0.0          # when a message was first seen to hang in the middle
         self.new = True           # has carried no message yet
         self.busy = False
+        self.cut = False          # by us
+        self.taken = self.size = 0          # bytes of this message that have come, and of its body
+        self.length: int | None = None      # of its body, as its head tells it
+        self.waited = 0.0         # ms that its body, or its head, was waited for, ...
+        self.waits_since = 0.0    # ... and since when it is waited for now, if it is
         writer.transport.set_write_buffer_limits(high=0)      # so that drain() waits for the last byte
 
-    async def read(self, most: int = MOST_BODY,
-                   begun: Callable[[], object] = bool) -> tuple[Any, bytes] | None:
-        """The next whole message, its head and its body; None where the other side closed before one.
+    async def _event(self, begun: Callable[[], object] | None = None) -> Any:
+        """The next event of a message; OSError where the connection breaks, LateError where it was given up.
 
-        ``begun`` is called, once, if it comes in more than one piece."""
-        head: Any = None
-        body: list[bytes] = []
-        size = taken = 0
+        ``begun`` is called when it turns out that more of the message is still to come."""
         while True:
             event = self.http.next_event()
-            if event is h11.NEED_DATA:
-                if self.http.they_are_waiting_for_100_continue:
-                    go_on = h11.InformationalResponse(status_code=100, headers=[])
-                    self.writer.write(self.http.send(go_on) or b"")
-                if taken:
-                    begun()
-                    begun = bool
-                try:
-                    data = await self.reader.read(_CHUNK)
-                except OSError:
-                    data = b""
-                taken += len(data)
-                if taken > most + MOST_FRAMING:
-                    raise TooLongError
-                self.http.receive_data(data)
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > most:
-                    raise TooLongError
-                body.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return head, b"".join(body)
-            elif isinstance(event, h11.Request | h11.Response):
-                head = event
-                if _length(head) > most:
-                    raise TooLongError
-            elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            if event is not h11.NEED_DATA:
+                return event
+            if self.http.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                self.writer.write(self.http.send(go_on) or b"")
+            if begun is not None and self.taken:
+                begun()
+            clock = asyncio.get_running_loop().time
+            self.waits_since = clock() * 1000.0
+            data = await self.reader.read(_CHUNK)
+            self.waited += clock() * 1000.0 - self.waits_since
+            self.waits_since = 0.0
+            if not data and self.reader.late and not self.reader.ended():
+                raise LateError
+            if not data and self.cut:
+                raise ConnectionAbortedError("it was broken off here")      # else it might look whole
+            self.taken += len(data)
+            if self.taken > MOST_FRAMING + FRAMING * self.size:
+                raise TooLongError
+            self.http.receive_data(data)
+
+    async def head(self, begun: Callable[[], object] | None = None) -> Any:
+        """The head of the next message; None where the other side closed before one."""
+        self.taken = self.size = 0
+        self.waited = 0.0
+        self.reader.late = False
+        while True:
+            event = await self._event(begun)
+            if isinstance(event, h11.Request | h11.Response):
+                self.length = _length(event)
+                self.waited = 0.0
+                return event
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return None
+
+    async def piece(self, begun: Callable[[], object] | None = None) -> bytes | None:
+        """The next part of the body; None at its end."""
+        while True:
+            event = await self._event(begun)
+            if isinstance(event, h11.Data):
+                self.size += len(event.data)
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
                 return None
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("it ended in the middle of a body")
+
+    async def read(self, most: int = MOST_BODY) -> tuple[Any, bytes] | None:
+        """The next whole message, its head and its body; None where the other side closed before one."""
+        head = await self.head()
+        if head is None:
+            return None
+        body: list[bytes] = []
+        while (part := await self.piece()) is not None:
+            body.append(part)
+            if self.size > most:
+                raise TooLongError
+        return head, b"".join(body)
 
     def more(self) -> bool:
         """Whether the other side has sent anything that was not read as part of a whole message."""
         return (self.http.their_state is h11.SEND_BODY or bool(self.http.trailing_data[0])
                 or self.reader.waiting())
 
+    def in_body(self) -> bool:
+        """Whether the other side is in the middle of a body."""
+        return self.http.their_state is h11.SEND_BODY
+
+    def may_answer(self) -> bool:
+        """Whether no answer to the message has begun."""
+        return self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
+    def behind(self) -> int:
+        """How many messages have come behind the one that is answered now, as far as they were read."""
+        if not self.more():
+            return 0
+        waiting = self.http.trailing_data[0] + bytes(self.reader._buffer)     # type: ignore[attr-defined]
+        return waiting.count(b"\r\n\r\n")
+
     def silent(self) -> bool:
         """Whether nothing has come, not even to the socket: the loop may be late to read from it."""
         if self.more():
@@ -154,17 +213,15 @@
         self.writer.transport.resume_reading()      # type: ignore[attr-defined]
 
     def abort(self) -> None:
+        self.cut = True
         self.writer.transport.abort()
 
 
-def _length(head: h11.Request | h11.Response) -> int:
-    """The body's length as the head tells it; 0 where its end is told otherwise."""
+def _length(head: h11.Request | h11.Response) -> int | None:
+    """The body's length as the head tells it; None where its end is told by chunks or by the connection's."""
     names = [name for name, _ in head.headers]
     if b"content-length" not in names:
-        if isinstance(head, h11.Response) and head.status_code == 200 and b"transfer-encoding" not in names:
-            # Its body would end with the connection, and a broken one look whole.
-            raise h11.RemoteProtocolError("the answer has no length")
-        return 0
+        return 0 if isinstance(head, h11.Request) and b"transfer-encoding" not in names else None
     if b"transfer-encoding" in names:
         # Whoever goes by the other one finds another message in the body.
         raise h11.RemoteProtocolError("a body has two lengths", error_status_hint=400)
--- a/larklb/records.py
+++ b/larklb/records.py
@@ -31,6 +31,7 @@
     admitted: bool = False
     void: bool = False                     # what the owner may still grant is to be given back unheard
     beyond: bool = False                   # ... though its quota turned it down
+    spent: bool = False                    # it cannot be sent again
     ended: bool = False
     attempts: list[Attempt] = field(default_factory=list)
 
--- /dev/null
+++ b/tests/test_bulk.py
@@ -0,0 +1,325 @@
+"""Bodies and answers over 64 KiB, slow sides, and the forms of HTTP/1.1, over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from tests.standins import ExecuteNode, Yard, ask, http, job, read_answer
+from tests.test_daily import figures, with_console
+
+MB = 1024 * 1024
+
+
+def order(body: bytes, *, chunked: int = 0, name: str = "", more: str = "") -> bytes:
+    """A place-order with a body, chunked in pieces of so many bytes if that is not 0."""
+    head, _, _ = job(name, "place-order").partition("\r\n\r\n")
+    if not chunked:
+        return head.replace("Content-Length: 0", f"Content-Length: {len(body)}{more}").encode() \
+            + b"\r\n\r\n" + body
+    parts = [body[i:i + chunked] for i in range(0, len(body), chunked)]
+    return (head.replace("Content-Length: 0", f"Transfer-Encoding: chunked{more}").encode() + b"\r\n\r\n"
+            + b"".join(b"%x;name=value\r\n%s\r\n" % (len(p), p) for p in parts)
+            + b"0\r\nX-Trailer: t\r\n\r\n")
+
+
+class BulkNode(ExecuteNode):
+    """Answers with the digest of the body that came, or with what ``answer`` writes."""
+
+    cut_after = 0              # bytes of a body, at which it turns the request away unread
+    hold = 0.0                 # s before it reads a body
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+                headers = {n.lower(): v.strip() for n, _, v in (x.partition(":") for x in lines[1:] if x)}
+                self.seen["begun"] += 1
+                await asyncio.sleep(self.hold)
+                digest, size = hashlib.sha256(), 0
+                async for part in body_of(reader, headers):
+                    digest.update(part)
+                    size += len(part)
+                    if self.cut_after and size > self.cut_after:
+                        writer.write(http(503, b"", "X-Unprocessed: 1", "Connection: close"))
+                        await writer.drain()
+                        return
+                self.seen[headers["x-correlation-id"]] += 1
+                await self.answer(writer, f"{size} {digest.hexdigest()}".encode())
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, writer: asyncio.StreamWriter, word: bytes) -> None:
+        writer.write(http(200, word))
+        await writer.drain()
+
+
+async def body_of(reader: asyncio.StreamReader, headers: dict[str, str]) -> AsyncIterator[bytes]:
+    if "content-length" in headers:
+        left = int(headers["content-length"])
+        while left:
+            part = await reader.read(min(left, 65536))
+            if not part:
+                raise asyncio.IncompleteReadError(b"", left)
+            left -= len(part)
+            yield part
+    elif headers.get("transfer-encoding") == "chunked":
+        while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
+            yield (await reader.readexactly(size + 2))[:-2]
+        while await reader.readuntil(b"\r\n") != b"\r\n":
+            pass
+
+
+def bulk_yard(tmp_path: Path, nodes: int = 1, kind: type[BulkNode] = BulkNode) -> Yard:
+    yard = Yard(tmp_path)
+    yard.nodes = [kind(f"s-{i}") for i in range(nodes)]
+    return yard
+
+
+def word(body: bytes) -> bytes:
+    return f"{len(body)} {hashlib.sha256(body).hexdigest()}".encode()
+
+
+BODY = bytes(range(256)) * 12288        # 3 MB
+
+
+@pytest.mark.parametrize("chunked", [0, 1000, 200_000])
+def test_a_long_body_reaches_its_node_as_it_came(tmp_path: Path, chunked: int) -> None:
+    async def go() -> None:
+        yard = bulk_yard(tmp_path)
+        async with yard:
+            port = yard.limiters[0].port
+            for body in (BODY, b"y" * 65536, b"z" * 65537, b"", b"short"):
+                status, _, answer = await ask(port, order(body, chunked=chunked if body else 0))
+                assert (status, answer) == (200, word(body))
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            text = order(BODY, chunked=chunked, more="\r\nExpect: 100-continue")
+            head, end, body = text.partition(b"\r\n\r\n")
+            writer.write(head + end)
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+            writer.write(body)
+            assert (await read_answer(reader))[2] == word(BODY)
+            writer.write(job().encode())                    # the connection goes on
+            assert (await read_answer(reader))[0] == 200
+    asyncio.run(go())
+
+
+def test_a_slow_body_is_carried_and_a_slower_one_told_and_closed(tmp_path: Path) -> None:
+    """64 kB a second, after 2 s for the head; and one that stops in the middle."""
+    async def go() -> None:
+        yard = bulk_yard(tmp_path)
+        async with yard:
+            port, body = yard.limiters[0].port, BODY[:200_000]
+
+            async def sent(text: bytes, upto: int) -> tuple[int, bytes, float]:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                began = time.monotonic()
+                end = text.index(b"\r\n\r\n") + 4
+                writer.write(text[:20])
+                await asyncio.sleep(1.9)
+                writer.write(text[20:end])
+                for at in range(end, upto, 6400):
+                    writer.write(text[at:min(upto, at + 6400)])
+                    await asyncio.sleep(0.1)
+                status, _, answer = await read_answer(reader)
+                return status, answer, time.monotonic() - began
+
+            text = order(body)
+            whole, stopped = await asyncio.gather(sent(text, len(text)), sent(text, 60_000))
+            assert whole[:2] == (200, word(body))
+            assert stopped[0] == 408 and stopped[2] < 8
+            assert yard.nodes[0].seen["begun"] <= 2
+    asyncio.run(go())
+
+
+def test_a_long_body_goes_to_another_node_only_while_it_is_kept(tmp_path: Path) -> None:
+    """A node that is not there costs nothing; one that turns it away in the middle ends it."""
+    async def go() -> None:
+        yard = bulk_yard(tmp_path, nodes=2)
+        async with yard:
+            port = yard.limiters[0].port
+            first, second = yard.nodes
+            assert isinstance(first, BulkNode) and isinstance(second, BulkNode) and second.server is not None
+            second.server.close()
+            for _ in range(4):
+                assert (await ask(port, order(BODY)))[2] == word(BODY)
+            first.cut_after = 1000_000
+            begun = first.seen["begun"]
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(order(BODY))
+            status, _, _ = await asyncio.wait_for(read_answer(reader), 5)
+            assert status in (502, 503) and first.seen["begun"] == begun + 1
+            first.cut_after = 0
+            writer.write(job().encode())
+            assert (await asyncio.wait_for(read_answer(reader), 5))[0] == 200, "the connection goes on"
+    asyncio.run(go())
+
+
+def test_too_long_a_body_is_told_so(tmp_path: Path) -> None:
+    async def go() -> None:
+        yard = bulk_yard(tmp_path)
+        async with yard:
+            port = yard.limiters[0].port
+            text = order(b"").replace(b"Content-Length: 0", b"Content-Length: 60000000")
+            assert (await ask(port, text))[0] == 413
+            endless = order(b"", chunked=0).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(endless)
+            answering = asyncio.ensure_future(read_answer(reader))
+            for _ in range(40):
+                if answering.done():
+                    break
+                writer.write(b"100000\r\n" + b"x" * MB + b"\r\n")
+                await asyncio.wait((asyncio.ensure_future(writer.drain()), answering),
+                                   return_when=asyncio.FIRST_COMPLETED)
+            assert (await asyncio.wait_for(answering, 5))[0] == 413
+            assert not any(len(name) == 16 for name in yard.nodes[0].seen), "no node has had all of it"
+    asyncio.run(go())
+
+
+class LongAnswers(BulkNode):
+    """32 MB, as fast as they are taken; or what else ``how`` says."""
+
+    how = "length"
+    whole = bytes(65536) * 512
+
+    async def answer(self, writer: asyncio.StreamWriter, word: bytes) -> None:
+        if self.how == "length":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(self.whole))
+            for at in range(0, len(self.whole), 65536):
+                writer.write(self.whole[at:at + 65536])
+                await writer.drain()
+        elif self.how in ("chunked", "broken off"):
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for _ in range(30):
+                writer.write(b"1388;x=y\r\n" + b"c" * 5000 + b"\r\n")
+                await writer.drain()
+            if self.how == "broken off":
+                writer.transport.abort()
+            writer.write(b"0\r\nX-Sum: 1\r\n\r\n")
+        elif self.how == "to the end":
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + b"e" * 200_000)
+            await writer.drain()
+            writer.close()
+        elif self.how == "trickle":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"t" * 10)
+            await asyncio.sleep(1.0)
+            writer.write(b"t" * 99_990)
+        elif self.how == "slowly":
+            text = http(200, b"s" * 1000)
+            for at in range(0, len(text), 100):
+                writer.write(text[at:at + 100])
+                await asyncio.sleep(0.2)
+
+
+async def whole_answer(reader: asyncio.StreamReader) -> bytes:
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    assert lines[0].split()[1] == "200"
+    headers = {n.lower(): v.strip() for n, _, v in (x.partition(":") for x in lines[1:] if x)}
+    return b"".join([part async for part in body_of(reader, headers)])
+
+
+def test_long_answers_in_every_form_and_those_that_break_off_can_be_told(tmp_path: Path) -> None:
+    async def go() -> None:
+        yard = bulk_yard(tmp_path, kind=LongAnswers)
+        console = with_console(yard)
+        async with yard:
+            node = yard.nodes[0]
+            assert isinstance(node, LongAnswers)
+            reader, writer = await asyncio.open_connection("127.0.0.1", yard.limiters[0].port)
+            for how, answer in (("chunked", b"c" * 150_000), ("to the end", b"e" * 200_000),
+                                ("slowly", b"s" * 1000), ("trickle", b"t" * 100_000)):
+                node.how = how
+                writer.write(job().encode())
+                if how == "trickle":          # the first bytes come at once
+                    await asyncio.wait_for(reader.readuntil(b"t" * 10), 0.8)
+                    assert await asyncio.wait_for(reader.readexactly(99_990), 5) == b"t" * 99_990
+                else:
+                    assert await asyncio.wait_for(whole_answer(reader), 5) == answer, how
+            node.how = "broken off"
+            writer.write(job().encode())
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await whole_answer(reader)
+            told = (await figures(console))["responses"]["stock-check"]
+            assert (told["ok"], told["errors"]) == (4, 1)
+            node.how = "chunked"             # HTTP/1.0 knows no chunks: the answer ends with the connection
+            text = job().replace("HTTP/1.1", "HTTP/1.0").encode()
+            reader, writer = await asyncio.open_connection("127.0.0.1", yard.limiters[0].port)
+            writer.write(text)
+            head, _, body = (await asyncio.wait_for(reader.read(-1), 5)).partition(b"\r\n\r\n")
+            assert body == b"c" * 150_000 and b"chunked" not in head.lower()
+    asyncio.run(go())
+
+
+def test_many_long_answers_to_slow_readers_stay_within_memory(tmp_path: Path) -> None:
+    """Sixteen times 32 MB, none of which is read for a while: a limiter that held them would need 512 MB."""
+    async def go() -> None:
+        yard = bulk_yard(tmp_path, nodes=2, kind=LongAnswers)
+        async with yard:
+            process = yard.limiters[0].process
+            assert process is not None
+
+            def most_mb() -> float:
+                text = Path(f"/proc/{process.pid}/status").read_text()
+                return int(text.split("VmHWM:")[1].split()[0]) / 1024
+
+            before = most_mb()
+
+            async def slow() -> int:
+                reader, writer = await asyncio.open_connection("127.0.0.1", yard.limiters[0].port, limit=4096)
+                writer.write(job(left=4.0).encode())
+                await reader.readuntil(b"\r\n\r\n")
+                await asyncio.sleep(2.0)
+                got = 0
+                while got < 32 * MB:
+                    part = await reader.read(MB)
+                    assert part
+                    got += len(part)
+                writer.close()
+                return got
+
+            assert await asyncio.gather(*(slow() for _ in range(16))) == [32 * MB] * 16
+            assert most_mb() - before < 24
+    asyncio.run(go())
+
+
+def test_requests_behind_one_another_are_answered_in_turn_and_a_flood_is_not(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with Yard(tmp_path) as yard:
+            port = yard.limiters[0].port
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            names = [f"{n:016x}" for n in range(1, 6)]
+            writer.write("".join(job(name) for name in names).encode())
+            for name in names:
+                assert (await read_answer(reader))[2] == b"done " + name.encode()
+            writer.write("".join(job() for _ in range(100)).encode())
+            assert (await read_answer(reader))[0] == 400
+            assert yard.seen().total() == 5
+            absolute = job("00000000000000ff").replace("GET /", "GET http://any:80/")
+            assert (await ask(port, absolute))[0] == 200
+    asyncio.run(go())
+
+
+def test_a_submitter_that_leaves_in_the_middle_of_its_body_leaves_nothing(tmp_path: Path) -> None:
+    async def go() -> None:
+        yard = bulk_yard(tmp_path)
+        console = with_console(yard)
+        async with yard:
+            for _ in range(5):
+                _, writer = await asyncio.open_connection("127.0.0.1", yard.limiters[0].port)
+                writer.write(order(BODY)[:500_000])
+                await asyncio.sleep(0.1)
+                writer.transport.abort()
+            await asyncio.sleep(0.5)
+            told = await figures(console)
+            assert (told["active"], told["tries"]) == (0, 0)
+            assert (await ask(yard.limiters[0].port, order(BODY)))[0] == 200
+    asyncio.run(go())
+
