--- a/larklb/handed.py
+++ b/larklb/handed.py
@@ -99,7 +99,8 @@
         plans=[p.name for p in g.s.plans], topics=g.topics, usual=g.usual, room=g.room, busy=g.busy,
         pressed=g.pressed, breakers=dict(g.breakers),
         buckets=[(key, plan, bucket) for key, (plan, bucket) in g.buckets.items()],
-        leases=list(g.leases.items()), began=alone.began, copies=alone.copies, slices=alone.slices,
+        # Its own leases belong to jobs that it finishes itself.
+        leases=[(name, lease) for name, lease in g.leases.items() if name[0] != g.s.number], began=alone.began, copies=alone.copies, slices=alone.slices,
         heard_at=alone.heard_at, ends=alone.ends, demand=shares.demand, asked=shares.asked,
         told=shares.told, since=shares.since, whole=shares.whole, incarnation=settling.incarnation,
         mine=settling.mine, unsettled={owner: list(keys) for owner, keys in settling.open.items()},
--- a/larklb/net/front.py
+++ b/larklb/net/front.py
@@ -210,7 +210,8 @@
     async def stop(self) -> None:
         """Takes what still arrives for a while, then ends what is idle and finishes all that was taken."""
         self.phase.move("stop", self.wheel.now())
-        self._let_go()
+        if not self.resting:              # else the next process is about to have them
+            self._let_go()
         if self.pass_on is None:
             await self.wheel.sleep(LINGER)
         if self.server is not None and self.server.sockets:
--- a/larklb/net/handover.py
+++ b/larklb/net/handover.py
@@ -2,9 +2,9 @@
 
 They meet at a Unix socket in a folder that both have.  Each message is one packet, a kind and its body.  The
 new process says HELLO and, when it could serve, GIVE; the old one answers with its state in parts, the last
-of which carries the listening socket and that between limiters; the new one says TAKEN.  From then on the old
-one sends each client's connection as it rests.  An end of the connection before TAKEN, or before the old
-process is told to stop, means that the old one goes on serving.
+of which carries the listening socket and that between limiters; the new one says TAKEN; the old one lets go
+and says DONE.  From then on it sends each client's connection as it rests.  An end of the connection before
+TAKEN, or before the old process is told to stop, means that the old one goes on serving.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 
 log = logging.getLogger(__name__)
 
-HELLO, NO, GIVE, PART, LAST, TAKEN, LINK = (b"H", b"N", b"G", b"P", b"L", b"T", b"C")
+HELLO, NO, GIVE, PART, LAST, TAKEN, DONE, LINK = (b"H", b"N", b"G", b"P", b"L", b"T", b"D", b"C")
 PACKET = 64 * 1024         # bytes of state in one packet
 MOST_STATE = 64 * 1024 * 1024
 ANSWER = 1500.0            # ms for each answer of the other process: one that hangs is passed over
@@ -62,7 +62,7 @@
 
     def __init__(self, sock: socket.socket, wheel: Wheel) -> None:
         self.sock, self.wheel, self.loop = sock, wheel, asyncio.get_running_loop()
-        self.ended = False
+        self.ended = self.gone = False          # closed here, or by the other side
         self.on_packet: Callable[[bytes, list[int]], object] | None = None
         self.on_end: Callable[[], object] = bool
         sock.setblocking(False)
@@ -72,17 +72,18 @@
         self.loop.add_reader(self.sock.fileno(), self._readable)
 
     def _readable(self) -> None:
-        try:
-            packet, fds, _, _ = socket.recv_fds(self.sock, PACKET + 64, 4)
-        except BlockingIOError:
-            return
-        except OSError:
-            packet, fds = b"", []
-        if not packet:
-            self.close()
-            self.on_end()
-        elif self.on_packet is not None:
-            self.on_packet(packet, list(fds))
+        while not self.ended:
+            try:
+                packet, fds, _, _ = socket.recv_fds(self.sock, PACKET + 64, 4)
+            except BlockingIOError:
+                return
+            except OSError:
+                packet, fds = b"", []
+            if not packet:
+                self.close()
+                self.on_end()
+            elif self.on_packet is not None:
+                self.on_packet(packet, list(fds))
 
     def send(self, kind: bytes, body: bytes = b"", fds: tuple[int, ...] = ()) -> bool:
         """False where it cannot be sent now, for want of room or of another end."""
@@ -90,6 +91,9 @@
             return False
         try:
             socket.send_fds(self.sock, [kind + body], list(fds))
+        except ConnectionError:
+            self.gone = True
+            return False
         except OSError:
             return False
         return True
@@ -98,7 +102,7 @@
         """The same, with some patience."""
         until = self.wheel.now() + ANSWER
         while not self.send(kind, body, fds):
-            if self.ended or self.wheel.now() > until:
+            if self.ended or self.gone or self.wheel.now() > until:
                 raise HandoverError("the other process takes nothing")
             await self.wheel.sleep(2.0)
 
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -102,10 +102,12 @@
     second = await _second_front(entry.grpc, core) if entry is not None and entry.grpc else None
     if desk is not None:
         await _listening(desk.start(core))
+    if before.channel is not None:
+        await succession.taken(before.channel)
     await _listening(front.start(before.listening, before.shared))
     phase.move("started", wheel.now())
     if before.channel is not None and before.handed is not None:
-        succession.taken(before.channel, before.handed)
+        succession.serves(before.channel, before.handed)
     succession.open_door(place)
     gc.collect()
     gc.freeze()            # what stays for good need not be looked through again,
--- a/larklb/succession.py
+++ b/larklb/succession.py
@@ -17,7 +17,7 @@
 from larklb.handed import Handed, Place, install, pack, retired
 from larklb.net.execute import ExecuteNodes
 from larklb.net.front import Front
-from larklb.net.handover import GIVE, LINK, NO, TAKEN, Channel, Door, HandoverError, Parcel, give
+from larklb.net.handover import DONE, GIVE, LINK, NO, TAKEN, Channel, Door, HandoverError, Parcel, give
 from larklb.net.http import Link
 from larklb.net.machines import Machine, Machines
 from larklb.net.peers import Peers
@@ -57,14 +57,23 @@
                                for name, p in handed.places.items()},
                               handed.offset, handed.generation, handed.discovery)
 
-    def taken(self, channel: Channel, handed: Handed) -> None:
+    async def taken(self, channel: Channel) -> None:
+        """The old process lets go; it is told so before anybody hears a yes from this one."""
+        try:
+            await channel.send_all(TAKEN, b"")
+            answer, fds = await channel.receive()
+            if answer != DONE or fds:
+                raise HandoverError("it does not let go")
+        except HandoverError as error:
+            log.warning("the process that had our place: %s", error)       # it has ended, or will: we serve
+
+    def serves(self, channel: Channel, handed: Handed) -> None:
         """This process serves from now on; the old one sends its connections as they rest."""
         if handed.draining:
             self.phase.move("drain", self.wheel.now())
         self.nodes.share(True)
         self.before = channel
         channel.listen(self._arrived, self._alone_here)
-        channel.send(TAKEN)
         log.info("took the place of another process, with %d buckets", len(handed.buckets))
 
     def _arrived(self, packet: bytes, fds: list[int]) -> None:
@@ -115,6 +124,7 @@
 
     async def _give(self, channel: Channel) -> None:
         listening, between = self.front.rest(), None
+        began = self.wheel.now()
         try:
             until = self.wheel.now() + QUIET
             while self.wheel.now() < until and any(
@@ -122,8 +132,11 @@
                 await self.wheel.sleep(LOOK)
             between = self.peers.release() if self.peers is not None else None
             await give(channel, Parcel(self._state(), listening, between))
-        except (HandoverError, OSError) as error:
-            log.warning("the other process did not take our place: %s", error)
+        except Exception as error:
+            # Whatever it was: nobody may be left waiting at sockets that nobody reads.
+            level = logging.WARNING if isinstance(error, HandoverError) else logging.ERROR
+            log.log(level, "the other process did not take our place: %s: %s", type(error).__name__, error)
+            self.core.counters.add("errors.succession")
             channel.close()
             self.after = None
             await self._go_on(listening, between)
@@ -131,9 +144,11 @@
         self.kept = listening, between
         self._retire()
         self.nodes.retire(True)
+        channel.send(DONE)
         channel.listen(lambda packet, fds: None, self._left_alone)
         self.front.hand_on(self._pass_on)
-        log.info("another process has our place, %d jobs are under way here", len(self.core.jobs))
+        log.info("another process has our place after a rest of %.0f ms, %d jobs are under way here",
+                 self.wheel.now() - began, len(self.core.jobs))
 
     def _state(self) -> bytes:
         machines = self.machines
