--- a/larklb/handed.py
+++ b/larklb/handed.py
@@ -101,8 +101,9 @@
         buckets=[(key, plan, bucket) for key, (plan, bucket) in g.buckets.items()],
         # Its own leases belong to jobs that it finishes itself.
         leases=[(name, lease) for name, lease in g.leases.items() if name[0] != g.s.number],
-        began=alone.began, copies=alone.copies, slices=alone.slices, heard_at=alone.heard_at, ends=alone.ends, demand=shares.demand, asked=shares.asked,
-        told=shares.told, since=shares.since, whole=shares.whole, incarnation=settling.incarnation,
+        began=alone.began, copies=alone.copies, slices=alone.slices, heard_at=alone.heard_at,
+        ends=alone.ends, demand=shares.demand, asked=shares.asked, told=shares.told,
+        since=shares.since, whole=shares.whole, incarnation=settling.incarnation,
         mine=settling.mine, unsettled={owner: list(keys) for owner, keys in settling.open.items()},
         known=list(settling.known.items()), current=settling.current, settled_at=settling.heard_at,
         speak=g.book.peers))
