Bound what flows at once by the memory, and read no more than 64 KiB from a socket in one go

Cause, found by reading: each long body or answer holds up to 64 KiB of its start and what asyncio has read ahead, up to 320 KB a side, since a transport takes 256 KiB at a time. Now a transport takes 64 KiB, and places for what flows follow what tables and program leave of `limits.memory_mb`, at 0.3 MB each (45 at 80 MB); a job has one place from its body to its answer. What waits, waits in its socket; small jobs need no place. A body that nobody wants is no longer read to its end by an instance that stops.

Ruled out: a test of memory alone as the guard's proof. With 24 answers it passes without the bound, for the kernel's buffers hold most; the bound is tested by its number (6 begun instead of 4 without it).

--- a/larklb/lab/yard.py
+++ b/larklb/lab/yard.py
@@ -168,9 +168,10 @@
     def config(self) -> Path:
         bed = self.bed
         path = bed.folder / f"{self.name}.json"
-        path.write_text(json.dumps(configuration(
-            self.number, self.port, bed.discovery.port, bed.peers_of(self.number),
-            [n.entry() for n in bed.nodes], bed.plans)))
+        told = configuration(self.number, self.port, bed.discovery.port, bed.peers_of(self.number),
+                             [n.entry() for n in bed.nodes], bed.plans)
+        told["limits"]["memory_mb"] = bed.memory_mb
+        path.write_text(json.dumps(told))
         return path
 
     async def start(self) -> None:
@@ -216,6 +217,7 @@
         self.folder, self.second_front, self.store = folder, second_front or bool(more), store
         self.more, self.plans = more, plans
         self.environment: dict[str, str] = {}
+        self.memory_mb = 192
         self.peers_of: Callable[[int], list[int]] = lambda number: self.peers
         self.peers = [free_port(socket.SOCK_DGRAM) for _ in range(limiters)]
         self.discovery = Discovery()
--- a/larklb/net/front.py
+++ b/larklb/net/front.py
@@ -22,6 +22,7 @@
 from larklb.net.execute import Content, Ended, ExecuteNodes
 from larklb.net.http import MOST_BODY, MOST_BULK, LateError, Link, TooLongError, WatchedReader
 from larklb.phase import Phase
+from larklb.quota.kept import PART, PROGRAM_MB
 from larklb.settings import Config
 
 log = logging.getLogger(__name__)
@@ -34,6 +35,8 @@
 HALF_MESSAGE = 2400.0      # ms for a first head, from its connect on, and for the rest of a later one; ...
 SLOWEST = 64.0             # ... for a body as many, and one for each so many bytes of it
 STALL = 20000.0            # ms for a submitter to take a piece of a long answer
+FLOW_MB = 0.3              # that a body or an answer which flows holds at the most, on both sides together
+LEAST_FLOWS = 4
 FLOOD = 16                 # requests behind one that is not answered yet: more are no submitter's
 IDLE = 10000.0             # ms without a job after which a connection goes, sooner if there is no room
 MAY_CLOSE = 2000.0         # ms without a job after which nobody minds
@@ -123,6 +126,9 @@
     def __init__(self, config: Config, core: Core, nodes: ExecuteNodes, phase: Phase) -> None:
         self.config, self.core, self.nodes, self.wheel = config, core, nodes, core.wheel
         self.phase = phase
+        # What customers' tables and the program leave of the memory is for bodies and answers that flow.
+        self.flows = asyncio.Semaphore(max(LEAST_FLOWS, int(
+            (config.memory_mb - PROGRAM_MB) * (1.0 - PART) / FLOW_MB)))
         self.most = int(config.sockets * SOCKETS_PART) - (MOST_AT_ONCE if config.admin is not None else 0)
         self.kept = int(config.sockets * KEPT_PART)
         self.links: dict[Link, None] = {}      # that count: a closed one's task may still be on its way out
@@ -395,6 +401,8 @@
         while link.in_body() and await link.piece() is not None:
             if link.size > MOST_BULK:
                 raise TooLongError
+            if self.phase.leaving:               # nobody's job waits for it
+                return await self._read_away(link)
 
     def closes(self, link: Link) -> bool:
         """Whether the connection ends with the answer that goes out now."""
@@ -434,6 +442,8 @@
         job, word = None, "nobody"
         sink = AnswerSink(self, link)
         try:
+            if content.upload is not None:
+                await sink.slot()            # its rest waits in the socket until there is room for it
             job = self.core.take(request)
             link.reader.on_end = functools.partial(self.core.gone, job)
             if link.reader.ended():
@@ -467,6 +477,7 @@
             word = "nobody"
             raise
         finally:
+            sink.release()
             # Counted when its last byte has gone out: until then it is taken and not ended.
             if job is not None:
                 self.core.close(job)
@@ -510,9 +521,21 @@
 
     def __init__(self, front: Front, link: Link) -> None:
         self.front, self.link = front, link
-        self.close = self.whole = False
+        self.close = self.whole = self.has_slot = False
+
+    async def slot(self) -> None:
+        """One of few places for what flows: it is this job's to its end."""
+        if not self.has_slot:
+            await self.front.flows.acquire()
+            self.has_slot = True
+
+    def release(self) -> None:
+        if self.has_slot:
+            self.has_slot = False
+            self.front.flows.release()
 
     async def begin(self, kind: bytes, length: int | None) -> None:
+        await self.slot()
         self.close = self.front.closes(self.link)
         headers = [(b"Content-Type", kind)]
         headers.append((b"Transfer-Encoding", b"chunked") if length is None
--- a/larklb/net/http.py
+++ b/larklb/net/http.py
@@ -95,6 +95,7 @@
         self.length: int | None = None      # of its body, as its head tells it
         self.waited = 0.0         # ms that its body, or its head, was waited for, ...
         self.waits_since = 0.0    # ... and since when it is waited for now, if it is
+        writer.transport.max_size = _CHUNK  # type: ignore[attr-defined]      # asyncio reads four times as much
         writer.transport.set_write_buffer_limits(high=0)      # so that drain() waits for the last byte
 
     async def _event(self, begun: Callable[[], object] | None = None) -> Any:
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -289,9 +289,12 @@
 
 
 def test_many_long_answers_to_slow_readers_stay_within_memory(tmp_path: Path) -> None:
-    """Sixteen times 32 MB, none of which is read for a while: a limiter that held them would need 512 MB."""
+    """24 times 32 MB, none of which is read for a while: a limiter that held them would need 768 MB.
+
+    It may have 46 MB, of which 5 are for what flows: of 24 at once some wait."""
     async def go() -> None:
         yard = bulk_yard(tmp_path, nodes=2, kind=LongAnswers)
+        yard.memory_mb = 46
         async with yard:
             process = yard.limiters[0].process
             assert process is not None
@@ -315,8 +318,34 @@
                 writer.close()
                 return got
 
-            assert await asyncio.gather(*(slow() for _ in range(16))) == [32 * MB] * 16
-            assert most_mb() - before < 24
+            assert await asyncio.gather(*(slow() for _ in range(24))) == [32 * MB] * 24
+            assert most_mb() - before < 10
+    asyncio.run(go())
+
+
+def test_what_flows_at_once_is_bounded_by_the_memory_and_the_rest_waits(tmp_path: Path) -> None:
+    """30 MB leave four places: answers that nobody reads hold them, a small one needs none."""
+    async def go() -> None:
+        yard = bulk_yard(tmp_path, nodes=2, kind=LongAnswers)
+        yard.memory_mb = 30
+        async with yard:
+            port = yard.limiters[0].port
+            streams = [await asyncio.open_connection("127.0.0.1", port, limit=4096) for _ in range(6)]
+            for _, writer in streams:
+                writer.write(job(left=4.0).encode())
+            await asyncio.sleep(1.0)
+            begun = [reader for reader, _ in streams if reader._buffer]        # type: ignore[attr-defined]
+            assert len(begun) == 4
+            for node in yard.nodes:
+                assert isinstance(node, LongAnswers)
+                node.how = "slowly"
+            assert (await ask(port, job()))[2] == b"s" * 1000
+
+            async def read(reader: asyncio.StreamReader) -> int:
+                await reader.readuntil(b"\r\n\r\n")
+                return len(await reader.readexactly(32 * MB))
+
+            assert await asyncio.gather(*(read(reader) for reader, _ in streams)) == [32 * MB] * 6
     asyncio.run(go())
 
 
@@ -340,9 +369,10 @@
 def test_a_submitter_that_leaves_in_the_middle_of_its_body_leaves_nothing(tmp_path: Path) -> None:
     async def go() -> None:
         yard = bulk_yard(tmp_path)
+        yard.memory_mb = 30                # four places for what flows: they are free again
         console = with_console(yard)
         async with yard:
-            for _ in range(5):
+            for _ in range(9):
                 _, writer = await asyncio.open_connection("127.0.0.1", yard.limiters[0].port)
                 writer.write(order(BODY)[:500_000])
                 await asyncio.sleep(0.1)
