Keep the time without progress in one place, and take out a flag that nobody read

Found on reading the whole change again: STALL stood in front.py and execute.py with one value, and Upload.whole was set and never read. No behaviour changes.

--- a/larklb/net/bulk.py
+++ b/larklb/net/bulk.py
@@ -12,6 +12,8 @@
 
 from larklb.net.http import MOST_BULK, Link, TooLongError
 
+STALL = 20000.0            # ms without a piece given or taken, after which what flows is broken off
+
 
 class BrokenOffError(Exception):
     """The submitter has gone, or was given up, in the middle of its body."""
@@ -27,7 +29,7 @@
         self.link, self.first, self.length = link, first, link.length
         self._spent: Callable[[], object] = bool
         self._whole: Callable[[], object] = bool
-        self.spent = self.whole = False
+        self.spent = False
 
     def tell(self, spent: Callable[[], object], whole: Callable[[], object]) -> None:
         """``spent`` is called when more than ``first`` is passed on: it cannot be sent again; ``whole`` with
@@ -46,7 +48,6 @@
             if self.link.size > MOST_BULK:
                 raise TooLongError
             yield part
-        self.whole = True
         self._whole()
 
 
--- a/larklb/net/execute.py
+++ b/larklb/net/execute.py
@@ -14,7 +14,7 @@
 
 from larklb import interface as io
 from larklb.core import Core, Job
-from larklb.net.bulk import BrokenOffError, Sink, Upload
+from larklb.net.bulk import STALL, BrokenOffError, Sink, Upload
 from larklb.net.http import MOST_BODY, MOST_BULK, LateError, Link, TooLongError, dial, finished
 from larklb.net.machines import Machines
 from larklb.settings import Config
@@ -33,7 +33,6 @@
 ANSWER_REST = 500.0      # ms for the next piece of an answer that has begun, and ...
 REST_AIM = 1 / 3         # ... more where aims are long: this part of the least
 HOLD = 1000.0            # ms for which an answer is held that tells no length
-STALL = 20000.0          # ms without a piece taken or given, after which an answer that flows is broken off
 _OF_SUBMITTERS = (OSError, h11.RemoteProtocolError, LateError, TooLongError)
 _OURS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 GRACE_PART = 0.8         # of the drain grace is used, the rest is for what lies between us and the node
--- a/larklb/net/front.py
+++ b/larklb/net/front.py
@@ -17,7 +17,7 @@
 from larklb import interface as io
 from larklb.core import Core, Job
 from larklb.fields import MalformedError, account, decimal, quota_info
-from larklb.net.bulk import BrokenOffError, Upload
+from larklb.net.bulk import STALL, BrokenOffError, Upload
 from larklb.net.console import MOST_AT_ONCE
 from larklb.net.execute import Content, Ended, ExecuteNodes
 from larklb.net.http import MOST_BODY, MOST_BULK, LateError, Link, TooLongError, WatchedReader
@@ -34,7 +34,6 @@
 MOST_TIME_S = 600.0        # that a submitter may say it waits
 HALF_MESSAGE = 2400.0      # ms for a first head, from its connect on, and for the rest of a later one; ...
 SLOWEST = 64.0             # ... for a body as many, and one for each so many bytes of it
-STALL = 20000.0            # ms for a submitter to take a piece of a long answer
 FLOW_MB = 0.3              # that a body or an answer which flows holds at the most, on both sides together
 LEAST_FLOWS = 4
 FLOOD = 16                 # requests behind one that is not answered yet: more are no submitter's
