Serve alone where no Unix socket may be made, instead of failing to start

It did not start: handover.find made its AF_UNIX socket before its try, so ENOSYS there left _run with a traceback (net/handover.py, the first line of find).

Checked and ruled out: nothing on the serving path forks, starts a program or uses sendfile or splice (subprocess and to_thread appear only in the agent, the lab and the operator's export); Door.open's refusal was already caught in Succession.open_door (the test fails with that guard taken out); run in deploy/balancer.toml already ends by exec in one dynamically linked python, and build does all installing.

Change: a refused socket is logged in one line and the instance serves alone. Measured: the test fails without the change and passes with it.

--- a/larklb/net/handover.py
+++ b/larklb/net/handover.py
@@ -139,7 +139,12 @@
     """The running process at the meeting place, greeted; None where none lives there.
 
     HandoverError where one lives there that does not answer, or speaks another version."""
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    try:
+        # where Unix sockets are refused (ENOSYS under a filter), nobody can be met: the instance serves alone
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    except OSError as error:
+        log.warning("no process before this one can be met: %s", error)
+        return None
     try:
         sock.setblocking(False)
         sock.connect(str(path))
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,63 @@
+"""An instance in a process that may do less: the fleet's filter, as the standing fleet test describes it.
+
+There, starting programs, fork, sendfile and splice are refused, and no Unix socket is reached.  The shim
+below refuses the same from inside Python at the start of the process, and says each refusal on stderr, so
+that a test can tell that the path was tried and not merely left out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import textwrap
+from pathlib import Path
+
+from tests.standins import ROOT, Yard, ask, job
+from tests.test_daily import with_console
+
+SHIM = '''
+import errno, os, socket, subprocess, sys
+
+def _refused(what):
+    def refuse(*args, **kwargs):
+        print(f"shim: refused {what}", file=sys.stderr, flush=True)
+        raise OSError(errno.ENOSYS, f"{what} refused")
+    return refuse
+
+class _Socket(socket.socket):
+    def __init__(self, family=-1, type=-1, proto=-1, fileno=None):
+        if fileno is None and family == socket.AF_UNIX:
+            _refused("a Unix socket")()
+        super().__init__(family, type, proto, fileno)
+
+socket.socket = _Socket
+for name in ("fork", "forkpty", "posix_spawn", "posix_spawnp", "execv", "execve", "sendfile", "splice"):
+    if hasattr(os, name):
+        setattr(os, name, _refused(name))
+subprocess.Popen._execute_child = _refused("a child program")
+'''
+
+
+def test_an_instance_serves_where_no_unix_socket_is_reached_and_nothing_forks(tmp_path: Path) -> None:
+    """With a second address, the instance would meet the process before it at a Unix socket: refused, it
+    serves alone, said in one line, and a job is served as anywhere else."""
+    (tmp_path / "shim").mkdir()
+    (tmp_path / "shim" / "sitecustomize.py").write_text(textwrap.dedent(SHIM))
+
+    async def go() -> None:
+        yard = Yard(tmp_path)
+        yard.environment.update(TMPDIR=str(tmp_path), PYTHONPATH=f"{tmp_path / 'shim'}:{ROOT}")
+        with_console(yard)
+        async with yard:
+            limiter = yard.limiters[0]
+            status, _, body = await ask(limiter.port, job("a1", left=3.0))
+            assert (status, body) == (200, b"done a1")
+            process = limiter.process
+            assert process is not None and process.stderr is not None
+            process.send_signal(signal.SIGTERM)
+            said = (await asyncio.wait_for(process.stderr.read(), 20)).decode()
+            assert await process.wait() == 0
+        assert "shim: refused a Unix socket" in said
+        assert "no other process can take our place" in said
+        assert "Traceback" not in said
+    asyncio.run(go())
