Take no job at a start before discovery's first list, 1 s at most

The front was listening in between (serve.py: front.start came right after recall), so a job taken then could go to a node that had begun to drain.

Change: Machines.first_list waits on the wheel for the first list that discovery tells, at most FIRST_LIST (1 s); only then does the front listen. A handover brings its own list and does not wait. A silent discovery is said in one line and the configuration's list serves. The Discovery stand-in can answer late.

The test of an address in use now gives its twin a discovery that speaks, and runs the second process off the event loop that serves that discovery.

--- a/larklb/lab/yard.py
+++ b/larklb/lab/yard.py
@@ -100,6 +100,7 @@
         self.port = port or free_port()
         self.lines: list[tuple[int, bytes]] = []
         self.deaf = False            # open watches hear nothing more
+        self.slow = 0.0              # s before a watch is answered at all
         self.asked: list[int] = []
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
@@ -111,6 +112,7 @@
         line, _ = await read_head(reader)
         version = int(line.split("from=")[1].split()[0])
         self.asked.append(version)
+        await asyncio.sleep(self.slow)
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         for generation, text in self.lines:
             if generation > version:
--- a/larklb/net/machines.py
+++ b/larklb/net/machines.py
@@ -22,6 +22,7 @@
 MOST_LINE = 4 * 1024 * 1024                # of a list; a longer one is not a list
 SILENCE = 2800.0                           # ms without a byte from a watch, which owes a line every 2 s
 DIAL = 2000.0                              # ms for a connection to discovery
+FIRST_LIST = 1000.0                        # ms that a start waits for the list as it is now, ahead of any job
 
 
 @dataclass
@@ -42,6 +43,22 @@
         # Fixed once: the same start must always give the same instant, or the module sees a new process.
         self.offset = self.wheel.now() - time.time() * 1000.0
         self.known = config.known
+        self.live = asyncio.Event()                # a list from discovery has come since the start
+
+    async def first_list(self) -> bool:
+        """Waits, ``FIRST_LIST`` ms at most, for discovery's first word; whether it came.
+
+        The list in the configuration may be seconds old at a restart: a node that has begun to drain since
+        would get new work from this start.  Discovery's own agent answers at once, so only a silent one costs
+        the wait.
+        """
+        waiting = asyncio.ensure_future(self.live.wait())
+        timer = self.wheel.after(FIRST_LIST, waiting.cancel)
+        try:
+            await asyncio.wait((waiting,))
+        finally:
+            timer.cancel()
+        return not waiting.cancelled()
 
     def recall(self) -> None:
         """The list that this limiter held last, perhaps long ago."""
@@ -87,6 +104,8 @@
             if machine.closed_at is not None and now - machine.closed_at > 60000.0:
                 del self.of[name]
         self.generation = news.generation
+        if kind is not io.ListKind.RECALLED:
+            self.live.set()
         self.core.counters.add(f"list.{kind.value}")
         self.core.feed(io.ServerList(kind, news.generation, tuple(entries)))
 
--- a/larklb/serve.py
+++ b/larklb/serve.py
@@ -26,7 +26,7 @@
 from larklb.net.execute import ExecuteNodes
 from larklb.net.front import Front
 from larklb.net.handover import Channel, HandoverError, find, meeting_place, take
-from larklb.net.machines import Machines
+from larklb.net.machines import FIRST_LIST, Machines
 from larklb.phase import Phase
 from larklb.quota.book import Book
 from larklb.quota.kept import customers
@@ -104,6 +104,8 @@
         await _listening(desk.start(core))
     if before.channel is not None:
         await succession.taken(before.channel)
+    if before.handed is None and not await machines.first_list():
+        log.warning("discovery has not spoken in %.0f ms: the list of the configuration serves", FIRST_LIST)
     await _listening(front.start(before.listening, before.shared))
     phase.move("started", wheel.now())
     if before.channel is not None and before.handed is not None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -61,3 +61,17 @@
         assert "no other process can take our place" in said
         assert "Traceback" not in said
     asyncio.run(go())
+
+
+def test_a_start_sends_nothing_to_a_node_that_began_to_drain_after_its_configuration(tmp_path: Path) -> None:
+    """At a restart the configuration's list may be seconds old: the one node in it has begun to drain since,
+    and discovery answers late.  A job that comes at once must not reach that node."""
+    async def go() -> None:
+        yard = Yard(tmp_path, nodes=1)
+        yard.discovery.tell(2, yard.nodes[0].entry("draining"))
+        yard.discovery.slow = 0.4
+        async with yard:
+            status, _, _ = await ask(yard.limiters[0].port, job("first", left=3.0))
+            assert yard.nodes[0].seen["first"] == 0
+            assert status in (502, 503)
+    asyncio.run(go())
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -370,11 +370,13 @@
         async with Yard(tmp_path) as yard:
             twin = Yard(tmp_path / "twin")
             twin.folder.mkdir()
+            twin.discovery.tell(2, twin.nodes[0].entry())   # a silent discovery would be a line of its own
+            await twin.discovery.start()
             twin.limiters[0].port = yard.limiters[0].port
             path = twin.limiters[0].config()
             env = {**os.environ, "EDGE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
             command = [sys.executable, "-m", "larklb", "serve"]
-            done = subprocess.run(command, env=env, capture_output=True, timeout=60)
+            done = await asyncio.to_thread(subprocess.run, command, env=env, capture_output=True, timeout=60)
             assert done.returncode == 1 and b"already in use" in done.stderr
             assert done.stderr.count(b"\n") == 1
     asyncio.run(go())
