--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -106,6 +106,25 @@
     assert not pace.ways and not pace.out and not pace.flows
 
 
+def test_who_hears_nobody_any_more_waits_for_no_answer() -> None:
+    """Before, each job of a limiter that was cut off waited for the patience of an ask of its own."""
+    pace, now = Pace(INBOX, TICK, AIM), 0.0
+    for n in range(1000):
+        now += 40.0
+        pace.arrived(now, n % 5)
+    assert not pace.deaf(now + 200.0), "five words are missing: that is chance"
+    pace.asked(now, 1, 3, 525.0)
+    assert pace.unheard(now + 200.0, 1) is not None
+    assert pace.deaf(now + 400.0) and pace.unheard(now + 400.0, 1) is None
+    assert pace.asked(now + 400.0, 2, 3, 525.0) < 300.0
+    assert pace.unheard(now + 700.0, 2) is None
+    pace.arrived(now + 800.0, 4)
+    assert not pace.deaf(now + 800.0)
+    lonely = Pace(INBOX, TICK, AIM)
+    lonely.arrived(0.0, 1)
+    assert not lonely.deaf(5000.0), "who seldom hears a word misses none"
+
+
 # Reach ------------------------------------------------------------------------------------
 
 
--- a/tests/test_settling.py
+++ b/tests/test_settling.py
@@ -380,3 +380,21 @@
         b = bound(1.4, 7.0, 3, loss=0.02, apart_s=15.0, reserve=1.0)
         assert status == 0 and (taller["over"], taller["under"]) == (round(b.over, 1), round(b.under, 1))
     asyncio.run(go())
+
+
+def test_what_a_full_bucket_spilt_lately_is_there_for_what_others_let_in() -> None:
+    """A perfect bucket would have given it to them: without it a full owner's bucket went into debt."""
+    full, dry = TokenBucket(2.0, 6.0, 6.0, 0.0), TokenBucket(2.0, 6.0, 0.0, 0.0)
+    for now in range(0, 2001, 100):
+        full.fill(float(now))
+    dry.fill(2000.0)
+    full.settle(2000.0, 3.0, 6.0)
+    dry.settle(2000.0, 3.0, 6.0)
+    assert 5.0 < full.tokens <= 6.0 and dry.tokens == 1.0
+    full.settle(2000.0, 3.0, 6.0)
+    assert full.tokens < 4.0, "it is there once"
+    late = TokenBucket(2.0, 6.0, 6.0, 0.0)
+    late.fill(2000.0)
+    late.tokens = 0.0
+    late.settle(4950.0, 6.0, 6.0)
+    assert late.tokens < 2.0, "what was spilt long ago would not have been there"
