--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -36,7 +36,7 @@
     return [Rig._end(t) for t in audit.tries if t.limiter in numbers and since <= t.came < until]
 
 
-@pytest.mark.parametrize("name", ["calm", "one-class", "all-slow", "new-list"])
+@pytest.mark.parametrize("name", ["calm", "one-class", "all-slow", "new-list", "hot-limiter"])
 def test_days_on_which_nothing_may_be_lost(name: str, tmp_path: Path) -> None:
     audit, _ = played(name, tmp_path)
     assert audit.figures["jobs"] > 300
