A finding is done with once all limiters of a small fleet know it

In a fleet of four a finding is told to three others at most, and never reaches the five messages after which it is done with: it stays in Verdicts.fresh until it has faded, up to half a minute, is gone through with each message, and keeps messages of its own going (grave).

Now it is done with when everybody has it. The test fails without that.

--- a/larklb/fleet/verdicts.py
+++ b/larklb/fleet/verdicts.py
@@ -91,6 +91,7 @@
         self.quorum = QUORUM if gateways > SMALL else 1
         self.of_limiters = QUORUM + 1 if gateways > MANY else self.quorum
         self.tells = math.ceil(TELLS * math.log2(gateways + 1))
+        self.others = gateways - 1
         self.of: OrderedDict[Name, dict[int, Known]] = OrderedDict()
         self.by: dict[Name, Mark] = {}                     # the fleet's verdicts, of others' findings alone
         self.looked: dict[Name, Mark] = {}                 # evidence of one's own of late
@@ -207,6 +208,9 @@
             if count >= most:
                 break
             known = self.of[name][observer]
+            if len(known.told | {observer, known.came_from} - {self.number}) >= self.others:
+                done.append((name, observer))              # a small fleet knows it before so many messages
+                continue
             if peer in (observer, known.came_from) or peer in known.told:
                 continue
             if observer == self.number and known.slow >= BAD and self.doubts(now, name[1]):
--- a/tests/test_fleet_decisions.py
+++ b/tests/test_fleet_decisions.py
@@ -266,6 +266,16 @@
     assert [f.stamp for f in v.riders(0.0, 199, 6)] == [101]
 
 
+def test_in_a_small_fleet_a_finding_is_done_with_once_all_know_it() -> None:
+    """It stayed with each of four limiters for half a minute, and was gone through with each message."""
+    v = Verdicts(0, 4, HALF)
+    v.found(0.0, 7, 1, 12.0)
+    v.heard(0.0, 2, finding(2))
+    for peer in (1, 2, 3):
+        assert list(v.riders(0.0, peer, 6))
+    assert not list(v.riders(0.0, 1, 6)) and not v.fresh and not v.grave(0.0)
+
+
 def test_a_finding_that_stays_bad_is_told_anew_and_its_end_too() -> None:
     v = Verdicts(0, 20, HALF)
     stamps: set[int] = set()
