--- a/larklb/lab/fleet.py
+++ b/larklb/lab/fleet.py
@@ -108,8 +108,6 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.audit = Audit()
         self.began = 0.0
-        self.restarted: list[str] = []
-        self.events: list[tuple[float, str]] = []
 
     # Around the limiters ------------------------------------------------------------------
 
@@ -237,11 +235,9 @@
 
     async def _fault(self, f: Fault) -> None:
         await self._until(f.at)
-        self.events.append((self.now(), f"{f.what} begins"))
         undo = await self._begin(f)
         if f.lasts:
             await self._until(f.at + f.lasts)
-            self.events.append((self.now(), f"{f.what} ends"))
             found = undo()
             if asyncio.iscoroutine(found):
                 await found
@@ -310,7 +306,6 @@
     def _return(self, nodes: list[str], ways: list[Any]) -> None:
         for name in nodes:
             self.machines[name].restart()
-        self.restarted += nodes
         for way in ways:
             way.set("open")
         self._list(nodes, "up")
