--- a/larklb/outfalls/home.py
+++ b/larklb/outfalls/home.py
@@ -29,7 +29,7 @@
 KNOWN_MS = 1_500.0         # a core machine heard of within this is asked for acknowledgements
 MEET_MS = 250.0            # in which a home that starts hears of another one that knows more ...
 ALONE_MS = 1_000.0         # ... and in which it waits for any other
-SYNC_BATCH = 2_000         # renewals in a word at the most; the rest follows with the next
+SYNC_BATCH = 2_000         # renewals in one word at the most; the rest follows in another
 
 Words = list[tuple[str, dict[str, Any]]]
 
@@ -318,8 +318,10 @@
         last, self.synced_at = max(self.synced_at, self.born), now
         heard = [[n, h.member.life] for n, h in self.members.of.items() if h.direct >= last]
         beats = [[n, k.server.sequence] for n, k in self.registry.of.items() if k.direct >= last]
-        self._tell_core(now, {"k": "sync", "me": self.me.row(), "ready": self.ready and not self.hushed,
-                              "m": heard[:SYNC_BATCH], "v": beats[:SYNC_BATCH], "dg": self._digests()})
+        for start in range(0, max(1, len(heard), len(beats)), SYNC_BATCH):
+            part = slice(start, start + SYNC_BATCH)
+            self._tell_core(now, {"k": "sync", "me": self.me.row(), "ready": self.ready and not self.hushed,
+                                  "m": heard[part], "v": beats[part], "dg": self._digests()})
 
     # Time ---------------------------------------------------------------------------------
 
--- a/larklb/sluice/main.py
+++ b/larklb/sluice/main.py
@@ -37,7 +37,7 @@
 from larklb.watermark.errors import WatermarkError
 from larklb.weirs.budget import Budget
 from larklb.weirs.choice import Choice, Place
-from larklb.weirs.quotas import Allowance, Ask, Quotas, Verdict
+from larklb.weirs.quotas import Allowance, Ask, Bound, Quotas, Verdict
 from larklb.wheel import Timer, Wheel
 
 log = logging.getLogger("sluice")
@@ -83,8 +83,10 @@
         self.follower = Follower(me, [host for host, _ in settings.seeds], changed=self._changed)
         self.choice = Choice(settings.zone, settings.zones, self.random.randrange(1 << 30), limit=self._limit)
         first = settings.bootstrap
-        self.quotas = Quotas(settings.node, now, self.random.randrange(1 << 30), settled=first)
         bounds = settings.bounds
+        self.quotas = Quotas(
+            settings.node, now, self.random.randrange(1 << 30), settled=first,
+            bound=Bound(bounds.quota_window / 1000.0, bounds.quota_overshoot, bounds.quota_slack))
         self.budget = Budget(bounds.retry_ratio, bounds.retry_window, bounds.retry_slack, self._limiters, now,
                              settled=first, node=settings.node)
         sockets = max(64, settings.descriptors - RESERVED)
@@ -96,6 +98,7 @@
         self.control = Door(self.wheel, control.answer, int(sockets * CONTROL_PART))
         self.readiness = Door(self.wheel, self._ready, 16)
         self.saturation: dict[str, int] = {}
+        self.by_number: dict[int, str] = {}
         self.verdicts: dict[int, tuple[asyncio.Future[Verdict], Timer]] = {}
         self.calls: dict[int, asyncio.Future[Word]] = {}
         self.called = 0
@@ -268,6 +271,7 @@
         now = self.wheel.now()
         me = self.follower.me
         numbers = self.follower.numbers()
+        self.by_number = {n: self.follower.members[node].ip for n, node in numbers.items()}
         self.quotas.members(now, numbers, me.number if me.number >= 0 else None)
         self.choice.update(
             Place(s.id, s.target, s.address, s.zone, s.slots, cold=now + s.cold if s.cold else -1e18,
@@ -393,10 +397,8 @@
         return await verdict
 
     def _to_number(self, number: int, word: Word) -> None:
-        for member in self.follower.members.values():
-            if member.number == number:
-                self.culvert.post(member.ip, word)
-                return
+        if (ip := self.by_number.get(number)) is not None:
+            self.culvert.post(ip, word)
 
     def _given_up(self, number: int) -> None:
         self.count["quota.given_up"] += 1
--- a/larklb/sluice/servers.py
+++ b/larklb/sluice/servers.py
@@ -274,7 +274,8 @@
         framed = b"content-length" in headers or b"transfer-encoding" in headers
         whole = framed or status in (204, 304) or message.method == b"HEAD"
         named = b"x-attempt-id" in headers           # else it may answer anything
-        if not named or status < 300 and b"x-server-seal" not in headers or not whole or b"content-encoding" in headers:
+        sealed = b"x-server-seal" in headers or status >= 300
+        if not named or not sealed or not whole or b"content-encoding" in headers:
             choice.failed(now, place, False)
             return End.BROKEN, None
         choice.answered(now, place, route, took, status < 500)
--- a/larklb/sluice/settings.py
+++ b/larklb/sluice/settings.py
@@ -26,6 +26,9 @@
     retry_window: float = 10_000.0
     retry_slack: float = 64.0
     settling: float = 15_000.0
+    quota_window: float = 5_000.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 20.0
 
 
 @define(frozen=True)
@@ -131,4 +134,7 @@
             apply=bounds.number("applyMs", d.apply), retry_ratio=bounds.number("retryRatio", d.retry_ratio),
             retry_window=bounds.number("retryWindowS", 10) * 1000.0,
             retry_slack=bounds.number("retrySlack", d.retry_slack),
-            settling=bounds.number("settlingS", 15) * 1000.0))
+            settling=bounds.number("settlingS", 15) * 1000.0,
+            quota_window=bounds.number("quotaWindowS", 5) * 1000.0,
+            quota_overshoot=bounds.number("quotaOvershoot", d.quota_overshoot),
+            quota_slack=bounds.number("quotaSlack", d.quota_slack)))
--- a/larklb/weirs/quotas.py
+++ b/larklb/weirs/quotas.py
@@ -62,8 +62,7 @@
 UNKNOWN_PART = 0.1         # of its slice of the rate, for a limiter that holds none
 UNKNOWN_TOKENS = 10.0      # that all such limiters have together at first
 ASSUMED_LIMITERS = 16      # before the ring is known
-WINDOW_S = 5.0             # the rule's window: of what may be let in in it beyond the quota ...
-OVERSHOOT, SLACK = 0.1, 15.0   # ... (this part, and this much of 20) slices hold no more than their part
+SLACK_PART = 0.75          # of the rule's slack is for slices; the rest for what is seen late
 WHOLE = 1.0 - 1e-9         # a token, less what sums of fractions lose
 BIG = 1e12                 # no figure of a sane word is above it
 
@@ -73,6 +72,15 @@
 SLICE: Final = "slice"
 
 
+@define(frozen=True)
+class Bound:
+    """What the rule lets in beyond a quota: in any ``window_s`` this part of it, and ``slack``."""
+
+    window_s: float = 5.0
+    overshoot: float = 0.1
+    slack: float = 20.0
+
+
 @define(frozen=True)
 class Allowance:
     """What the configuration gives a tenant: ``rate`` a second (0: no limit), ``burst`` in requests."""
@@ -118,6 +126,7 @@
     tokens: float
     at: float
     used: float                            # last request
+    rule: Bound
     copied: float = -math.inf              # when the copy was asked for
     number: int = -1                       # of the ask that brought it
     owner: int = -1                        # whose copy it is
@@ -128,7 +137,8 @@
 
     def most(self, limiters: int) -> float:
         """The tokens it holds: a copy may be of just before the owner's burst was spent."""
-        spare = OVERSHOOT * (WINDOW_S * self.rate + self.burst) + SLACK
+        rule = self.rule
+        spare = rule.overshoot * (rule.window_s * self.rate + self.burst) + rule.slack * SLACK_PART
         # A token must fit in, or a small tenant would get nothing.
         return max(1.0, min(self.burst, spare) / limiters)
 
@@ -202,8 +212,10 @@
     objects.
     """
 
-    def __init__(self, node: str, now: float, seed: int, *, settled: bool) -> None:
+    def __init__(self, node: str, now: float, seed: int, *, settled: bool,
+                 bound: Bound | None = None) -> None:
         self._chance = random.Random(seed)
+        self._bound = bound or Bound()
         self._life = digest(f"{node} {seed} {now}") >> 16        # fits every reader's integers
         self._node = node
         self._unsure_until = -math.inf if settled else now + RESTARTED_MS
@@ -450,7 +462,8 @@
                 del self._slices[next(iter(self._slices))]
             count = self._limiters()
             tokens = min(1.0, UNKNOWN_TOKENS / count, allowance.burst / count)
-            part = self._slices[allowance.tenant] = _Slice(allowance.rate, allowance.burst, tokens, now, now)
+            part = self._slices[allowance.tenant] = _Slice(
+                allowance.rate, allowance.burst, tokens, now, now, self._bound)
         elif part.rate != allowance.rate or part.burst != allowance.burst:
             part.fill(now, self._limiters())
             part.rate, part.burst = allowance.rate, allowance.burst
--- a/tests/test_outfalls.py
+++ b/tests/test_outfalls.py
@@ -1031,3 +1031,17 @@
         monkeypatch.setattr(follower_module, name, wrong)
     with pytest.raises(AssertionError):
         run()
+
+
+def test_all_renewals_are_told_however_many() -> None:
+    """Past the size of one word the rest must follow in others, or servers that beat are taken for silent."""
+    me = Member("a", "10.0.0.1", "z", 1, disk="d-a")
+    home = Home(me, PERIOD, 0.0)
+    home.told_of(0.0, Member("b", "10.0.0.2", "z", 1, disk="d-b"), True)
+    names = {f"i-{n}" for n in range(5_000)}
+    for name in names:
+        home.heartbeat(10.0, Server(name, "t", "10.1.0.1:80", "z", 2), lambda known: None)
+    home.out.clear()
+    home.tick(500.0, me, {}, None, [0, ""])
+    told = {name for _, word in home.out if word["k"] == "sync" for name, _ in word["v"]}
+    assert told == names
