--- a/larklb/cistern/store.py
+++ b/larklb/cistern/store.py
@@ -99,6 +99,13 @@
             self.save({IDENTITY: value})
         return value.decode()
 
+    def value(self, key: str, number: int) -> bytes | None:
+        """The value in one generation of a key; None where it is torn or not there."""
+        if not _KEY.fullmatch(key) or number < 1:
+            return None
+        with _translated("read"):
+            return self._read(key, number)
+
     def dump(self) -> list[Generation]:
         """What lies on the disk, for the operator: by key and number."""
         with _translated("read"):
--- a/larklb/cli/lab.py
+++ b/larklb/cli/lab.py
@@ -22,10 +22,16 @@
 
 Once = Annotated[bool, typer.Option(help="End after the show; 1 if something was not as it should be.")]
 
+System = Annotated[bool, typer.Option("--system", help="Show the gateway instead, as `larklb system try`: it "
+                                                       "ends by itself.")]
+
 
 @app.command("try")
-def trial(once: Once = False) -> None:
+def trial(once: Once = False, system: System = False) -> None:
     """Start the example on this machine, with nothing prepared, show what it does, and serve until Ctrl-C."""
+    if system:
+        from larklb.cli.system import main
+        raise typer.Exit(main(["try"]))
     from larklb.lab import trial as program
     raise typer.Exit(program.run(once))
 
--- a/larklb/cli/system.py
+++ b/larklb/cli/system.py
@@ -43,6 +43,7 @@
     "quota": system_live.quota,
     "core": system_live.core,
     "counts": system_live.counts,
+    "metrics": system_live.metrics,
     "disk": {"check": system_disk.check, "dump": system_disk.dump, "restore": system_disk.restore},
     "try": trial,
 }
--- a/larklb/cli/system_disk.py
+++ b/larklb/cli/system_disk.py
@@ -34,6 +34,8 @@
     torn = [f"{row['key']}-{row['number']}" for row in rows if not row["whole"]]
     if json:
         line({"folder": str(folder), "running": running, "torn": torn, **state})
+    elif state["dropped"]:
+        print(f"{folder}: a limiter would start without the log{_while(running)}")
     elif state["blank"]:
         print(f"{folder}: blank: a limiter would join with it as a newcomer{_while(running)}")
     else:
@@ -44,7 +46,10 @@
     for name in torn:
         complain(f"{folder}: {name} is torn and passed over; while a limiter runs it may be just being "
                  "written" if running else f"{folder}: {name} is torn and passed over: its save never ended")
-    return OFF if torn or state["blank"] else DONE
+    if state["dropped"] or state["blank"] and torn and state["disk"]:
+        complain(f"{folder}: no log is left that goes with votes, but the disk's id is, which others may "
+                 "count as a voter's: empty the folder, the id with it")
+    return OFF if torn or state["blank"] or state["dropped"] else DONE
 
 
 def dump(folder: Path, *, generation: int = 0, json: bool = False) -> int:
@@ -98,14 +103,14 @@
         wanted, store = _log(folder, generation), Store(folder)
         try:
             before = store.load() or {}
-            value = store._read(LOG, generation)
+            value = store.value(LOG, generation)
             if value is None or BALLOT not in before:
                 raise UnusableError(f"{folder}: no votes are left here: empty the folder, and the disk joins "
                                     "its group as a newcomer")
             if wanted.nonce != Ballot.read(decode(before[BALLOT])).nonce:
                 raise UnusableError(f"{folder}: log-{generation}: is of another group than the votes here")
             _replica(folder, {**before, LOG: value})
-            now, then = (_version(_newest(log)) for log in (Log.read(before[LOG]), wanted))
+            now, then = _held(before[LOG]), _version(_newest(wanted))
             told = {"folder": str(folder), "generation": generation, "from": now, "to": then, "done": yes}
             if yes:
                 store.save({LOG: value})
@@ -114,8 +119,9 @@
     if json:
         line(told)
     else:
-        print(f"{folder}: log-{generation} {'is' if yes else 'would be'} in force: version {now} "
-              f"{'gave' if yes else 'gives'} way to {then}")
+        print(f"{folder}: log-{generation} {'is' if yes else 'would be'} in force: "
+              f"{'what could not be read' if now is None else f'version {now}'} "
+              f"{'gave' if yes else 'gives'} way to version {then}")
     if not yes:
         complain("nothing was changed: what was acknowledged after that generation is lost, where no "
                  "majority of the other disks has it; --yes does it")
@@ -167,7 +173,7 @@
     store, rows = Store(folder), []
     try:
         for one in store.dump():
-            value = store._read(one.key, one.number) if one.whole else None
+            value = store.value(one.key, one.number) if one.whole else None
             rows.append({"key": one.key, "number": one.number, "bytes": one.size, "whole": one.whole,
                          "used": False, "what": _what(one.key, value)})
     except CisternError as error:
@@ -204,16 +210,24 @@
     return held[-1] if held else log.state.document
 
 
+def _held(value: bytes) -> int | None:
+    """The version in a stored log; None where that can't be understood, which is a reason to replace it."""
+    try:
+        return _version(_newest(Log.read(value)))
+    except HeadworksError:
+        return None
+
+
 def _version(document: Document | None) -> int:
     return int(document["version"]) if document is not None else 0
 
 
 def _log(folder: Path, number: int) -> Log:
     try:
-        value = Store(folder)._read(LOG, number) if number > 0 else None
+        value = Store(folder).value(LOG, number)
         if value is not None:
             return Log.read(value)
-    except (OSError, HeadworksError) as error:
+    except (CisternError, HeadworksError) as error:
         raise UnusableError(f"{folder}: log-{number}: {error}") from error
     there = [str(row["number"]) for row in _rows(folder) if row["key"] == LOG and row["whole"]]
     raise UnusableError(f"{folder}: log-{number}: no whole generation: must be one of "
@@ -228,8 +242,10 @@
     except CisternError as error:
         raise UnusableError(f"{folder}: {error}") from error
     replica = _replica(folder, stored or {})
+    log = Log.read(stored[LOG]) if stored and LOG in stored else Log()
+    dropped = replica.last < log.last          # it goes with no votes, or with those of another group
     return {"blank": stored is None, "disk": identity["what"].removeprefix("disk ") if identity else "",
-            "version": _version(_newest(Log.read(stored[LOG]))) if stored and LOG in stored else 0,
+            "dropped": dropped, "version": 0 if dropped else _version(_newest(log)),
             "acknowledged": replica.version, "term": replica.term, "founded": replica.founded,
             "voters": replica.voters}
 
--- a/larklb/cli/system_live.py
+++ b/larklb/cli/system_live.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import sys
+
 from larklb.cli.system_calls import (
     DONE,
     OFF,
     Caller,
     Fleet,
     Row,
+    UnusableError,
     addresses,
     asked,
     complain,
@@ -113,6 +116,13 @@
     return OFF if _silent(fleet) else DONE
 
 
+def leading(rows: list[Row]) -> list[Row]:
+    """Of the core machines' parts, those that lead in the newest term: an old leader that is cut off still
+    thinks that it leads."""
+    newest = max((row["term"] for row in rows), default=0)
+    return [row for row in rows if row["leads"] and row["term"] == newest]
+
+
 def core(address: str, *, json: bool = False) -> int:
     """Ask every core machine for its part in holding the configuration: leader, term, voters, log, disk.
 
@@ -126,8 +136,7 @@
     for node, told in fleet.answers.items():
         if (part := told["core"]) is not None:
             rows.append({"node": node, **part})
-    newest = max((row["term"] for row in rows), default=0)
-    leaders = [row for row in rows if row["leads"] and row["term"] == newest]
+    leaders = leading(rows)
     voters: dict[str, str] = max(rows, key=lambda r: (r["term"], r["last"]), default={"voters": {}})["voters"]
     for row in rows:
         row["part"] = ("leader" if row in leaders else "voter" if row["disk"] in voters else "newcomer")
@@ -171,3 +180,19 @@
         table([{"what": name, **{node: one.get(name, 0) for node, one in flat.items()}} for name in names],
               ("what", *flat))
     return OFF if fleet is not None and _silent(fleet) else DONE
+
+
+def metrics(address: str) -> int:
+    """Print what all limiters say of themselves in the Prometheus text format, for a collector of text files.
+
+    0: all answered; 1: a limiter is silent, its larklb_up is 0.  Needs the library prometheus-client.
+
+    :param address: A limiter's control address, host:port; several with commas are tried in order.
+    """
+    try:
+        from larklb.cli import system_metrics
+    except ImportError as error:
+        raise UnusableError(f"metrics needs a library, install larklb[metrics]: {error}") from error
+    fleet, text = system_metrics.told(Caller(addresses(address)))
+    sys.stdout.write(text)
+    return OFF if _silent(fleet) else DONE
--- a/larklb/headworks/errors.py
+++ b/larklb/headworks/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 
 class HeadworksError(Exception):
     """Base of all errors of this package."""
@@ -12,9 +14,12 @@
 
 
 class RefusedError(HeadworksError):
-    """A change that is invalid against the current document; raised by the ``apply`` of the caller."""
+    """A change that is invalid against the current document; raised by the ``apply`` of the caller.
+
+    ``problems``: each thing wrong with it, where the caller knows them apart; else the text alone."""
 
-    def __init__(self, status: int, text: str) -> None:
+    def __init__(self, status: int, text: str, problems: Iterable[str] = ()) -> None:
         super().__init__(text)
         self.status = status
         self.text = text
+        self.problems = tuple(problems) or (text,)
--- a/larklb/headworks/replica.py
+++ b/larklb/headworks/replica.py
@@ -119,6 +119,16 @@
         """Of ``current``; 0 if there is none."""
         return _version(self.current)
 
+    @property
+    def last(self) -> int:
+        """Index of the last entry of the log here, known to a majority or not; -1 on a blank disk."""
+        return self._log.last
+
+    @property
+    def commit(self) -> int:
+        """Index up to which it is known here that a majority has the log; -1 on a blank disk."""
+        return self._log.commit
+
     @property
     def founded(self) -> bool:
         """Whether this disk belongs to a group for good: it has voted in it or heard its leader."""
@@ -592,7 +602,7 @@
         try:
             document = self._apply(self.current, call)
         except RefusedError as error:
-            return Answer(error.status, str(error))
+            return Answer(error.status, error.text, problems=error.problems)
         if not _version(document) > self.version:
             return Answer(400, "the version isn't above the current one")
         return document
--- a/larklb/headworks/words.py
+++ b/larklb/headworks/words.py
@@ -13,11 +13,14 @@
 
 @define(frozen=True)
 class Answer:
-    """To an operator's call. ``status`` 200, 400, 412, or 503: no leader or not settled, try again."""
+    """To an operator's call. ``status`` 200, 400, 412, or 503: no leader or not settled, try again.
+
+    ``problems``: of a 400, each thing that is wrong, where more than the text is known."""
 
     status: int
     text: str
     document: dict[str, Any] | None = None
+    problems: tuple[str, ...] = ()
 
 
 @define(frozen=True)
--- /dev/null
+++ b/larklb/lab/emulator.py
@@ -0,0 +1,636 @@
+"""Limiters, links and servers in simulated time, under the decision code that serves.
+
+Servers have slots, a queue, speeds, a slow start and work by route; what they do when full is 'hang'
+(silence), 'reset' or 'refuse'.  Each limiter sees its own answers only, and what its peers share with
+it.  A day is the same for each seed, and arrivals are drawn apart from decisions, so that rivals meet
+the same clients.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from collections import Counter, deque
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, Protocol, runtime_checkable
+
+from attrs import define, evolve, field
+
+from larklb.sluice.front import AGAIN_MOST_MS, AGAIN_MS, HEDGE_AIM, HEDGE_LAST, HEDGE_LATE, MARGIN_MS
+from larklb.sluice.servers import DIAL_NEAR_MS, IDLE_MS, LEAST_MS
+from larklb.weirs.budget import Budget
+from larklb.weirs.choice import Choice, Place
+from larklb.weirs.tries import Course, End, Next
+
+CLIENT_TRIES = 3           # of a client's request, the first among them
+NOTICED_MS = 2_600.0       # from a server's silence until limiters are told that its heartbeats have ceased
+TOLD_MS = 150.0            # from any other news of a server until limiters have it, at the most
+DRAIN_MS = 2_500.0         # a leaving server serves on for so long
+GAP_MS = 500.0             # from a server's end to its successor's start
+SHARE_MS = 500.0           # between two words of a limiter to its peers, by way of the home ...
+SHARE_WAY_MS = 25.0        # ... which takes so long
+SHARE_LOSS = 0.02          # of them
+HANDS_MS = 25.0            # between two words on what is in hand, to the peers of a limiter's zone ...
+HANDS_WAY_MS = 3.0         # ... with the time until they are read
+RETRY_RATIO, RETRY_WINDOW_MS, RETRY_SLACK = 0.2, 10_000.0, 64.0
+
+
+@define(frozen=True)
+class Route:
+    """``rate`` a second before it is scaled to the load; ``work`` the mean ms at speed 1, ``spread`` the
+    standard deviation of its logarithm."""
+
+    name: str
+    service: str
+    rate: float
+    work: float
+    spread: float
+    aim: float
+    deadline: float
+    safe: bool = True
+    tries: int = 2
+
+
+@define(frozen=True)
+class Service:
+    """Servers of one kind.  ``strain``: times longer that work takes with all slots in use, less 1."""
+
+    name: str
+    servers: int
+    slots: int
+    speeds: tuple[float, ...]
+    queue: int = 16
+    on_full: str = "hang"
+    strain: float = 0.0
+    tells: str = "true"            # X-Load: true, absent, zero, full or stale
+
+
+@define(frozen=True)
+class Trouble:
+    """From ``at`` for ``lasts`` ms ``part`` of a service's servers (one at least) are 'slow' by ``times`` or
+    'dark'; or all are replaced one after another ('release'), evenly over ``lasts``."""
+
+    what: str
+    at: float
+    lasts: float
+    service: str
+    part: float = 0.0
+    times: float = 4.0
+
+
+@define(frozen=True)
+class Deployment:
+    """Who there is, what is asked of them, and what befalls them."""
+
+    name: str
+    limiters: int
+    zones: tuple[str, ...]
+    inside: float                  # ms one way in a zone ...
+    between: float                 # ... and between zones
+    client: float                  # ... and from clients
+    services: tuple[Service, ...]
+    routes: tuple[Route, ...]
+    load: float = 0.47
+    wave: float = 0.15
+    wave_ms: float = 20_000.0
+    length: float = 40_000.0
+    settling: float = 10_000.0     # not measured
+    cold_ms: float = 3_000.0
+    cold: float = 2.0
+    troubles: tuple[Trouble, ...] = ()
+    know: bool = True              # limiters start with the day; False: all restart at the end of settling
+
+
+def shop(**changes: Any) -> Deployment:
+    """Twelve limiters before 15 and 12 servers of four slots."""
+    return evolve(Deployment(
+        "A", 12, ("a", "b", "c"), 0.1, 0.5, 3.0,
+        (Service("orders", 15, 4, (0.8, 1.0, 1.25)), Service("stock", 12, 4, (0.7, 1.0, 1.0, 1.5))),
+        (Route("peek", "orders", 120.0, 160.0, 0.8, 600.0, 1_500.0),
+         Route("commit", "orders", 35.5, 210.0, 0.5, 800.0, 2_000.0, safe=False),
+         Route("pull", "stock", 47.4, 400.0, 0.5, 1_200.0, 3_000.0),
+         Route("check", "stock", 29.6, 64.0, 0.8, 250.0, 600.0))), **changes)
+
+
+def flags(**changes: Any) -> Deployment:
+    """Fourteen limiters before 17 and 16 servers of two slots."""
+    return evolve(Deployment(
+        "B", 14, ("a", "b", "c"), 0.1, 1.4, 8.0,
+        (Service("live", 17, 2, (0.8, 1.0, 1.25)), Service("history", 16, 2, (0.7, 1.0, 1.0, 1.5))),
+        (Route("lookup", "live", 84.1, 120.0, 0.8, 400.0, 2_500.0, tries=3),
+         Route("toggle", "live", 30.6, 160.0, 0.5, 500.0, 3_000.0, safe=False, tries=3),
+         Route("history", "history", 42.0, 300.0, 0.5, 1_000.0, 6_000.0, tries=3),
+         Route("snapshot", "history", 32.5, 48.0, 0.8, 200.0, 1_200.0, tries=3))), **changes)
+
+
+Make = Callable[[int, str, dict[str, str], int], Choice]
+
+
+@runtime_checkable
+class Shares(Protocol):
+    """A choice that exchanges what it has learned: ``words`` are JSON."""
+
+    def peers(self, me: str, names: Sequence[tuple[str, str]]) -> None: ...
+
+    def words(self, now: float) -> dict[str, Any]: ...
+
+    def hear(self, now: float, observer: str, words: Mapping[str, Any]) -> None: ...
+
+    def hand_words(self, now: float) -> dict[str, Any] | None: ...
+
+    def hear_hands(self, now: float, observer: str, words: Mapping[str, Any]) -> None: ...
+
+
+class Server:
+    """One life of a server."""
+
+    __slots__ = ("id", "service", "zone", "speed", "slow", "cold_until", "dark", "gone", "draining",
+                 "running", "queue", "told", "taken")
+
+    def __init__(self, id: str, service: Service, zone: str, speed: float, cold_until: float) -> None:
+        self.id, self.service, self.zone, self.speed, self.cold_until = id, service, zone, speed, cold_until
+        self.slow = 1.0
+        self.dark = self.gone = self.draining = False
+        self.running: set[Attempt] = set()
+        self.queue: deque[Attempt] = deque()
+        self.told: tuple[int, int, int] = (0, 0, service.slots)
+        self.taken = 0
+
+
+class Request:
+    """One request of a client over all its tries."""
+
+    __slots__ = ("route", "zone", "born", "tries")
+
+    def __init__(self, route: Route, zone: int, born: float) -> None:
+        self.route, self.zone, self.born, self.tries = route, zone, born, 0
+
+
+class Handled:
+    """One try at a limiter."""
+
+    __slots__ = ("request", "limiter", "due", "course", "tried", "last", "over", "out")
+
+    def __init__(self, request: Request, limiter: Limiter, due: float) -> None:
+        self.request, self.limiter, self.due = request, limiter, due
+        self.course = Course(request.route.safe, request.route.tries)
+        self.tried: set[str] = set()
+        self.last, self.over, self.out = Next.REFUSE, False, 0
+
+
+class Attempt:
+    """One attempt at a server."""
+
+    __slots__ = ("handled", "place", "server", "started", "over", "dropped")
+
+    def __init__(self, handled: Handled, place: Place, server: Server, started: float) -> None:
+        self.handled, self.place, self.server, self.started = handled, place, server, started
+        self.over = self.dropped = False
+
+
+class Limiter:
+    """One limiter: its choice, its budget, its resting connections (by server, when each was last used)."""
+
+    __slots__ = ("name", "zone", "choice", "budget", "rests")
+
+    def __init__(self, name: str, zone: str, choice: Choice, budget: Budget) -> None:
+        self.name, self.zone, self.choice, self.budget = name, zone, choice, budget
+        self.rests: dict[str, list[float]] = {}
+
+
+@define
+class Figures:
+    """Of one day.  ``took`` by route, ms from the first try, infinite where not served; ``taken`` by
+    service and server; ``able`` likewise, slots times speed."""
+
+    took: dict[str, list[float]] = field(factory=dict)
+    aims: dict[str, float] = field(factory=dict)
+    taken: dict[str, dict[str, int]] = field(factory=dict)
+    able: dict[str, dict[str, float]] = field(factory=dict)
+    count: Counter[str] = field(factory=Counter)
+    windows: dict[int, list[int]] = field(factory=dict)      # by second, in aim and all
+
+    def in_aim(self, route: str | None = None) -> float:
+        """The part answered inside its aim."""
+        names = [route] if route else list(self.took)
+        good = sum(sum(t <= self.aims[n] for t in self.took[n]) for n in names)
+        return good / max(1, sum(len(self.took[n]) for n in names))
+
+    def worst(self, seconds: int = 5) -> float:
+        """The part inside its aim in the worst ``seconds`` in a row."""
+        at = sorted(self.windows)
+        sums = [tuple(sum(self.windows[s][k] for s in at[i:i + seconds]) for k in (0, 1))
+                for i in range(max(1, len(at) - seconds + 1))]
+        return min(good / max(1, total) for good, total in sums)
+
+    def at(self, route: str, part: float) -> float:
+        """A quantile of a route's times, ms."""
+        times = sorted(self.took[route])
+        return times[min(len(times) - 1, int(part * len(times)))] if times else math.nan
+
+    def error(self, service: str) -> float:
+        """Half the sum of differences between shares of traffic and of ability: the part that is
+        misplaced."""
+        taken, able = self.taken[service], self.able[service]
+        total, sum_able = max(1, sum(taken.values())), sum(able.values())
+        return sum(abs(taken[s] / total - able[s] / sum_able) for s in able) / 2.0
+
+    def weakest(self, service: str) -> float:
+        """The weakest servers' traffic, times what would be in keeping with their ability."""
+        taken, able = self.taken[service], self.able[service]
+        low = min(able.values())
+        weak = [s for s in able if able[s] == low]
+        share = sum(taken[s] for s in weak) / max(1, sum(taken.values()))
+        return share / (low * len(weak) / sum(able.values()))
+
+
+class Emulator:
+    """One day of a deployment; ``run`` plays it."""
+
+    def __init__(self, deployment: Deployment, make: Make, seed: int) -> None:
+        self.d, self.make, self.seed = deployment, make, seed
+        self.now, self.order = 0.0, itertools.count()
+        self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.clients, self.work = random.Random(f"clients {seed}"), random.Random(f"work {seed}")
+        self.links = random.Random(f"links {seed}")
+        self.figures = Figures(aims={r.name: r.aim for r in deployment.routes},
+                               took={r.name: [] for r in deployment.routes})
+        self.services = {s.name: s for s in deployment.services}
+        self.servers: dict[str, Server] = {}
+        for service in deployment.services:
+            speeds = [service.speeds[i % len(service.speeds)] for i in range(service.servers)]
+            # Machines are spread over zones without regard to their speed.
+            random.Random(f"speeds {seed} {service.name}").shuffle(speeds)
+            for i, speed in enumerate(speeds):
+                zone = deployment.zones[i % len(deployment.zones)]
+                self._server(f"{service.name}-{i}", service, zone, speed, -1.0)
+        self.limiters = [self._limiter(i, 0.0) for i in range(deployment.limiters)]
+        self.weights = [self.clients.gammavariate(6.0, 1.0) for _ in self.limiters]
+        zones = deployment.zones
+        self.by_zone = [[i for i, m in enumerate(self.limiters) if m.zone == zone] for zone in zones]
+        self._tell()
+        self.measured = False
+
+    # Set-up ---------------------------------------------------------------------------------
+
+    def _server(self, id: str, service: Service, zone: str, speed: float, cold_until: float) -> None:
+        self.servers[id] = Server(id, service, zone, speed, cold_until)
+
+    def _limiter(self, i: int, now: float) -> Limiter:
+        zone = self.d.zones[i % len(self.d.zones)]
+        choice = self.make(i, zone, dict.fromkeys(self.d.zones, "region"), self.seed * 1_000 + i)
+        name = f"m{i}"
+        if isinstance(choice, Shares):
+            zones = self.d.zones
+            choice.peers(name, [(f"m{k}", zones[k % len(zones)]) for k in range(self.d.limiters)])
+        budget = Budget(RETRY_RATIO, RETRY_WINDOW_MS, RETRY_SLACK, self.d.limiters, now, settled=True,
+                        node=name)
+        return Limiter(name, zone, choice, budget)
+
+    def _places(self, silent: frozenset[str]) -> list[Place]:
+        return [Place(s.id, s.service.name, "", s.zone, s.service.slots, cold=s.cold_until,
+                      draining=s.draining, silent=s.id in silent)
+                for s in self.servers.values() if not s.gone]
+
+    def _tell(self, silent: frozenset[str] = frozenset()) -> None:
+        for limiter in self.limiters:
+            if self.now == 0.0:
+                limiter.choice.update(self._places(silent))
+            else:
+                self._at(self.now + self.links.random() * TOLD_MS, self._told, limiter, self._places(silent))
+
+    def _told(self, limiter: Limiter, places: list[Place]) -> None:
+        limiter.choice.update(places)
+
+    def _at(self, when: float, do: Callable[..., None], *args: Any) -> None:
+        heapq.heappush(self.events, (when, next(self.order), do, args))
+
+    # The day --------------------------------------------------------------------------------
+
+    def run(self) -> Figures:
+        """Plays the day; what was measured after settling."""
+        d = self.d
+        for service in d.services:
+            routes = [r for r in d.routes if r.service == service.name]
+            able = sum(s.speed for s in self.servers.values() if s.service is service) * service.slots
+            scale = d.load * able * 1_000.0 / sum(r.rate * r.work for r in routes)
+            for route in routes:
+                per_ms = route.rate * scale / 1_000.0
+                self._at(self.clients.expovariate(per_ms * (1 + d.wave)), self._arrival, route, per_ms)
+        for trouble in d.troubles:
+            self._at(trouble.at, self._trouble, trouble)
+        for i in range(d.limiters):
+            if isinstance(self.limiters[i].choice, Shares):
+                self._at(SHARE_MS * (i + 1) / d.limiters, self._share, i)
+                self._at(HANDS_MS * (i + 1) / d.limiters, self._hands, i)
+        self._at(d.settling, self._measure)
+        events = self.events
+        while events:
+            self.now, _, do, args = heapq.heappop(events)
+            do(*args)
+        self._sum_up()
+        return self.figures
+
+    def _measure(self) -> None:
+        self.measured = True
+        for server in self.servers.values():
+            server.taken = 0
+        if not self.d.know:
+            self.limiters = [self._limiter(i, self.now) for i in range(self.d.limiters)]
+            for limiter in self.limiters:
+                limiter.choice.update(self._places(frozenset()))
+
+    def _sum_up(self) -> None:
+        for service in self.d.services:
+            mine = [s for s in self.servers.values() if s.service is service and not s.gone]
+            self.figures.taken[service.name] = {s.id: s.taken for s in mine}
+            self.figures.able[service.name] = {s.id: s.speed * service.slots for s in mine}
+
+    def _share(self, i: int) -> None:
+        if self.now < self.d.length:
+            self._at(self.now + SHARE_MS, self._share, i)
+        limiter = self.limiters[i]
+        words = limiter.choice.words(self.now) if isinstance(limiter.choice, Shares) else {}
+        for other in self.limiters:
+            if other is not limiter and self.links.random() > SHARE_LOSS:
+                way = SHARE_WAY_MS * (0.5 + self.links.random())
+                self._at(self.now + way, self._heard, other, limiter.name, words)
+
+    def _hands(self, i: int) -> None:
+        if self.now < self.d.length:
+            self._at(self.now + HANDS_MS, self._hands, i)
+        limiter = self.limiters[i]
+        words = limiter.choice.hand_words(self.now) if isinstance(limiter.choice, Shares) else None
+        for other in self.limiters if words is not None else ():
+            if other is not limiter and other.zone == limiter.zone:
+                self.figures.count["hand words"] += 1
+                if self.links.random() > SHARE_LOSS:
+                    self._at(self.now + HANDS_WAY_MS, self._hands_heard, other, limiter.name, words)
+
+    def _hands_heard(self, limiter: Limiter, observer: str, words: Mapping[str, Any]) -> None:
+        if isinstance(limiter.choice, Shares):
+            limiter.choice.hear_hands(self.now, observer, words)
+
+    def _heard(self, limiter: Limiter, observer: str, words: Mapping[str, Any]) -> None:
+        if isinstance(limiter.choice, Shares):
+            limiter.choice.hear(self.now, observer, words)
+
+    def _trouble(self, trouble: Trouble) -> None:
+        mine = [s for s in self.servers.values() if s.service.name == trouble.service and not s.gone]
+        if trouble.what == "release":
+            for i, server in enumerate(mine):
+                self._at(self.now + trouble.lasts * i / len(mine), self._leave, server)
+            return
+        # The fast ones are hit: they carry the most.
+        mine.sort(key=lambda s: (-s.speed, s.id))
+        hit = mine[:max(1, round(trouble.part * len(mine)))]
+        if trouble.what == "slow":
+            for server in hit:
+                server.slow = trouble.times
+            self._at(self.now + trouble.lasts, self._well, hit)
+        elif trouble.what == "dark":
+            for server in hit:
+                server.dark = True
+                server.running.clear()
+                server.queue.clear()
+            self._at(self.now + min(NOTICED_MS, trouble.lasts), self._tell, frozenset(s.id for s in hit))
+            self._at(self.now + trouble.lasts, self._well, hit)
+        else:
+            raise ValueError(trouble.what)
+
+    def _well(self, hit: list[Server]) -> None:
+        dark = any(s.dark for s in hit)
+        for server in hit:
+            server.slow, server.dark = 1.0, False
+        if dark:
+            for limiter in self.limiters:      # connections to what was dark are gone
+                for server in hit:
+                    limiter.rests.pop(server.id, None)
+            self._at(self.now + 300.0, self._tell)
+
+    def _leave(self, server: Server) -> None:
+        server.draining = True
+        self._tell()
+        self._at(self.now + DRAIN_MS, self._end, server)
+
+    def _end(self, server: Server) -> None:
+        server.gone = True
+        for attempt in [*server.running, *server.queue]:
+            self._at(self.now + self._way(attempt.handled.limiter, server), self._ended, attempt, End.BROKEN)
+        server.running.clear()
+        server.queue.clear()
+        self._tell()
+        self._at(self.now + GAP_MS, self._successor, server)
+
+    def _successor(self, old: Server) -> None:
+        self._server(f"{old.id}'", old.service, old.zone, old.speed, self.now + self.d.cold_ms)
+        self._tell()
+
+    # Clients --------------------------------------------------------------------------------
+
+    def _arrival(self, route: Route, per_ms: float) -> None:
+        d, rng = self.d, self.clients
+        if self.now >= d.length:
+            return
+        self._at(self.now + rng.expovariate(per_ms * (1 + d.wave)), self._arrival, route, per_ms)
+        level = (1.0 + d.wave * math.sin(2 * math.pi * self.now / d.wave_ms)) / (1.0 + d.wave)
+        zone = rng.randrange(len(d.zones))
+        if rng.random() < level:
+            self._send(Request(route, zone, self.now), rng)
+
+    def _send(self, request: Request, rng: random.Random) -> None:
+        request.tries += 1
+        nodes = self.by_zone[request.zone]
+        limiter = self.limiters[rng.choices(nodes, [self.weights[i] for i in nodes])[0]]
+        self._at(self.now + self.d.client, self._arrived, request, limiter)
+
+    def _arrived(self, request: Request, limiter: Limiter) -> None:
+        left = request.born + request.route.deadline - self.now
+        handled = Handled(request, limiter, self.now + left - MARGIN_MS)
+        limiter.budget.first(self.now, request.route.service)
+        self._go(handled)
+
+    def _client(self, handled: Handled, step: Next) -> None:
+        """What the client does with the answer, ``client`` ms later."""
+        request = handled.request
+        self.figures.count[step.value] += 1
+        at = self.now + self.d.client
+        if step is Next.PASS:
+            self._over(request, at - request.born)
+            return
+        left = request.born + request.route.deadline - at
+        again = request.tries < CLIENT_TRIES and (step is Next.REFUSE or request.route.safe)
+        pause = 0.0
+        if step is Next.REFUSE:
+            pause = max(1.0, min(AGAIN_MS * (1 + self.links.random()), AGAIN_MOST_MS, left / 4.0))
+        if again and left > pause + 2 * self.d.client + MARGIN_MS + LEAST_MS:
+            self._at(at + pause, self._send, request, self.links)
+        else:
+            self._over(request, math.inf)
+
+    def _over(self, request: Request, took: float) -> None:
+        if request.born >= self.d.settling:
+            self.figures.took[request.route.name].append(took)
+            window = self.figures.windows.setdefault(int(request.born // 1_000), [0, 0])
+            window[0] += took <= request.route.aim
+            window[1] += 1
+
+    # A limiter, as its front decides ----------------------------------------------------------
+
+    def _go(self, handled: Handled) -> None:
+        now, course, choice, route = self.now, handled.course, handled.limiter.choice, handled.request.route
+        if now >= handled.due - LEAST_MS:
+            self._own(handled, Next.LATE if course.may_have_run else Next.REFUSE)
+            return
+        place = choice.pick(now, route.service, route.name, route.aim, handled.tried)
+        if place is None or course.costs() and not handled.limiter.budget.may_repeat(now, place.target):
+            self._own(handled, handled.last)
+            return
+        self._attempt(handled, place)
+        patience = max(HEDGE_AIM * route.aim, HEDGE_LATE * choice.usual_of(route.name).late)
+        if course.safe and course.sent + 1 < course.tries \
+                and patience <= min(HEDGE_LAST * route.aim, handled.due - now):
+            self._at(now + patience, self._hedge, handled, course.sent)
+
+    def _hedge(self, handled: Handled, sent: int) -> None:
+        if handled.over or not handled.out or handled.course.sent != sent:
+            return
+        route, limiter = handled.request.route, handled.limiter
+        other = limiter.choice.pick(self.now, route.service, route.name, route.aim, handled.tried)
+        if other is not None and limiter.budget.may_repeat(self.now, route.service):
+            self.figures.count["hedged"] += 1
+            handled.course.sent += 1
+            handled.course.may_have_run = True
+            self._attempt(handled, other)
+
+    def _own(self, handled: Handled, step: Next) -> None:
+        handled.over = True
+        self._client(handled, handled.course.honest(step))
+
+    def _way(self, limiter: Limiter, server: Server) -> float:
+        return self.d.inside if limiter.zone == server.zone else self.d.between
+
+    def _attempt(self, handled: Handled, place: Place) -> None:
+        now, limiter = self.now, handled.limiter
+        handled.tried.add(place.id)
+        handled.out += 1
+        limiter.choice.began(place)
+        server = self.servers[place.id]
+        attempt, way = Attempt(handled, place, server, now), self._way(limiter, server)
+        rests = limiter.rests.get(place.id, [])
+        while rests and now - rests[0] > IDLE_MS:
+            del rests[0]
+        if rests:
+            rests.pop()
+            self._at(now + way, self._reach, attempt)
+        elif server.dark:
+            self._at(min(handled.due, now + DIAL_NEAR_MS), self._ended, attempt, End.UNSENT)
+        elif server.gone:
+            self._at(now + 2 * way, self._ended, attempt, End.UNSENT)
+        else:
+            self._at(now + 3 * way, self._reach, attempt)
+        self._at(handled.due, self._ended, attempt, End.SILENT)
+
+    def _ended(self, attempt: Attempt, end: End, load: tuple[int, int, int] | None = None) -> None:
+        if attempt.over:
+            return
+        attempt.over = True
+        now, handled, place, server = self.now, attempt.handled, attempt.place, attempt.server
+        limiter = handled.limiter
+        choice = limiter.choice
+        handled.out -= 1
+        if end is End.ANSWER:
+            limiter.rests.setdefault(place.id, []).append(now)
+            choice.answered(now, place, handled.request.route.name, now - attempt.started, True)
+            if load is not None:
+                choice.told(now, place, load[0], load[1])
+        elif end is End.NOT_RUN:
+            limiter.rests.setdefault(place.id, []).append(now)
+            choice.full(now, place)
+        else:
+            choice.failed(now, place, end in (End.SILENT, End.UNSENT))
+            if end is End.SILENT:
+                self._at(now + self._way(limiter, server), self._drop, attempt)
+        self.figures.count[f"end.{end.value}"] += 1
+        if handled.over:
+            return
+        if end is End.ANSWER:
+            handled.over = True
+            self._client(handled, Next.PASS)
+            return
+        if handled.out:
+            return                             # the hedge goes on
+        step, otherwise = handled.course.after(end)
+        if step is Next.AGAIN:
+            handled.last = otherwise
+            self._go(handled)
+        else:
+            self._own(handled, step)
+
+    # A server -------------------------------------------------------------------------------
+
+    def _reach(self, attempt: Attempt) -> None:
+        server = attempt.server
+        if server.dark or attempt.over:
+            return
+        if server.gone:
+            self._back(attempt, End.BROKEN)
+        elif len(server.running) < server.service.slots:
+            self._begin(server, attempt)
+        elif len(server.queue) < server.service.queue:
+            server.queue.append(attempt)
+        elif server.service.on_full == "refuse":
+            self._back(attempt, End.NOT_RUN)
+        elif server.service.on_full == "reset":
+            self._back(attempt, End.BROKEN)
+
+    def _back(self, attempt: Attempt, end: End, load: tuple[int, int, int] | None = None) -> None:
+        way = self._way(attempt.handled.limiter, attempt.server)
+        self._at(self.now + way, self._ended, attempt, end, load)
+
+    def _begin(self, server: Server, attempt: Attempt) -> None:
+        route = attempt.handled.request.route
+        server.running.add(attempt)
+        server.taken += 1
+        work = self.work.lognormvariate(math.log(route.work) - route.spread ** 2 / 2, route.spread)
+        busy = len(server.running) / server.service.slots
+        work *= server.slow / server.speed * (1.0 + server.service.strain * busy * busy)
+        if self.now < server.cold_until:
+            work *= self.d.cold
+        self._at(self.now + work, self._done, server, attempt)
+
+    def _free(self, server: Server, attempt: Attempt) -> bool:
+        if attempt not in server.running:
+            return False
+        server.running.discard(attempt)
+        while server.queue and len(server.running) < server.service.slots:
+            self._begin(server, server.queue.popleft())
+        return True
+
+    def _done(self, server: Server, attempt: Attempt) -> None:
+        if self._free(server, attempt):
+            self._back(attempt, End.ANSWER, self._load(server))
+
+    def _drop(self, attempt: Attempt) -> None:
+        server = attempt.server
+        if not self._free(server, attempt) and attempt in server.queue:
+            server.queue.remove(attempt)
+
+    def _load(self, server: Server) -> tuple[int, int, int] | None:
+        slots, tells = server.service.slots, server.service.tells
+        load, before = (len(server.running), len(server.queue), slots), server.told
+        server.told = load
+        if tells == "absent":
+            return None
+        if tells == "zero":
+            return 0, 0, slots
+        if tells == "full":
+            return slots, server.service.queue, slots
+        return before if tells == "stale" else load
+
+
+def play(deployment: Deployment, make: Make, seed: int) -> Figures:
+    """One day under one way of choosing."""
+    return Emulator(deployment, make, seed).run()
--- /dev/null
+++ b/larklb/lab/emulator_rivals.py
@@ -0,0 +1,69 @@
+"""Plain ways of choosing that the project's own is measured against; all heed what is known to be down."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from attrs import define, field
+
+from larklb.weirs.choice import Choice, Place
+
+
+@define
+class Rival(Choice):
+    """The way of choosing differs; servers at rest are passed over alike."""
+
+    turn: dict[str, int] = field(factory=dict)
+
+    def ready(self, now: float, target: str, beside: Collection[str]) -> list[Place]:
+        """Who may be chosen."""
+        most = self.limit(target)
+        mine = [p for p in self.by_target.get(target, ())
+                if not p.draining and p.id not in beside and p.out < most]
+        return [p for p in mine if not (p.silent or p.trial or now < p.rests_until)] or mine
+
+    def best(self, now: float, target: str, ready: list[Place]) -> Place:
+        """One of ``ready``, which isn't empty."""
+        raise NotImplementedError
+
+    def pick(self, now: float, target: str, route: str, aim: float,
+             beside: Collection[str] = (), caller: int | None = None) -> Place | None:
+        ready = self.ready(now, target, beside)
+        return self.best(now, target, ready) if ready else None
+
+
+class LeastConnections(Rival):
+    """The fewest requests in hand from here."""
+
+    def best(self, now: float, target: str, ready: list[Place]) -> Place:
+        return min(ready, key=lambda p: (p.out, self.random.random()))
+
+
+class TwoChoices(Rival):
+    """The one with fewer in hand from here, of two by chance."""
+
+    def best(self, now: float, target: str, ready: list[Place]) -> Place:
+        two = self.random.sample(ready, min(2, len(ready)))
+        return min(two, key=lambda p: p.out)
+
+
+class LoadOnly(Rival):
+    """The least load for each slot as last told, with what has gone there from here."""
+
+    def best(self, now: float, target: str, ready: list[Place]) -> Place:
+        return min(ready, key=lambda p: ((p.others + p.out) / max(1, p.slots), self.random.random()))
+
+
+class RoundRobin(Rival):
+    """One after another, each limiter from its own place in the list."""
+
+    def best(self, now: float, target: str, ready: list[Place]) -> Place:
+        turn = self.turn.setdefault(target, self.random.randrange(1 << 16)) + 1
+        self.turn[target] = turn
+        return ready[turn % len(ready)]
+
+
+RIVALS: dict[str, type[Choice]] = {
+    "present": Choice, "least connections": LeastConnections, "two choices": TwoChoices,
+    "X-Load only": LoadOnly, "round robin": RoundRobin,
+}
--- a/larklb/sluice/control.py
+++ b/larklb/sluice/control.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Any
 from urllib.parse import parse_qsl
 
@@ -17,7 +17,7 @@
 from larklb.outfalls.registry import DRAINING, STEADY, Server
 from larklb.sluice.servers import Reply
 from larklb.watermark import calls
-from larklb.watermark.errors import WatermarkError
+from larklb.watermark.errors import PROBLEMS_KEPT, InvalidError, WatermarkError
 
 JSON = (b"Content-Type", b"application/json")
 MOST_FIELDS = 8            # of a query
@@ -25,21 +25,27 @@
 
 @define(frozen=True)
 class Settled:
-    """What became of a call: a status, a text or a document, and for servers where their home is."""
+    """What became of a call: a status, a text or a document, and for servers where their home is.
+
+    ``problems``: of a 400, each thing that is wrong, where more than the text is known."""
 
     status: int
     text: str = ""
     document: dict[str, Any] | None = None
     report_to: str = ""
+    problems: tuple[str, ...] = ()
 
     def word(self) -> dict[str, Any]:
         """As it travels between limiters."""
-        return {"st": self.status, "text": self.text, "doc": self.document, "to": self.report_to}
+        return {"st": self.status, "text": self.text, "doc": self.document, "to": self.report_to,
+                "problems": self.problems}
 
 
 def settled_of(word: Mapping[str, Any]) -> Settled:
     """From another limiter's word."""
-    return Settled(int(word["st"]), str(word["text"]), word["doc"], str(word["to"]))
+    # A limiter of the release before tells no problems apart.
+    return Settled(int(word["st"]), str(word["text"]), word["doc"], str(word["to"]),
+                   tuple(map(str, word.get("problems", ())))[:PROBLEMS_KEPT])
 
 
 AWAY = Settled(503, "nobody who can settle this is in reach: try again, or another limiter")
@@ -66,7 +72,7 @@
             try:
                 told = calls.heartbeat(body)
             except WatermarkError as error:
-                return Reply(400, body=str(error).encode())
+                return _invalid(error.problems if isinstance(error, InvalidError) else [str(error)])
             server = Server(found[1], told.target, told.address, told.zone, told.capacity, told.version,
                             DRAINING if told.state == "draining" else STEADY, told.sequence,
                             told.warmup_left_ms)
@@ -91,21 +97,23 @@
         try:
             told = self.status(path, dict(parse_qsl(query, max_num_fields=MOST_FIELDS)))
         except ValueError:
-            return Reply(400, body=b"the query has too many fields")
+            return _invalid([f"query: must have {MOST_FIELDS} fields at most"])
         return Reply(404) if told is None else self._reply(Settled(200, document=told))
 
     async def _change(self, kind: str, head: h11.Request, body: bytes) -> Reply:
         base = dict(head.headers).get(calls.BASE_VERSION.encode(), b"")
         if not base.isdigit() or len(base) > 18:
-            return Reply(400, body=b"X-Base-Version: must be the version that the change builds on")
+            return _invalid(["X-Base-Version: must be the version that the change builds on"])
         try:
             text = body.decode()
         except UnicodeDecodeError:
-            return Reply(400, body=b"the body is no JSON: it is not UTF-8")
+            return _invalid(["the body is no JSON: it is not UTF-8"])
         return self._reply(await self.operator({"kind": kind, "base": int(base), "body": text}))
 
     @staticmethod
     def _reply(settled: Settled) -> Reply:
+        if settled.status == 400:
+            return _invalid(settled.problems or (settled.text,))
         if settled.document is not None:
             return Reply(settled.status, [JSON], msgspec.json.encode(settled.document))
         if settled.report_to:
@@ -113,3 +121,8 @@
         if settled.text:
             return Reply(settled.status, [JSON], msgspec.json.encode({"text": settled.text}))
         return Reply(settled.status, [JSON], b"{}")
+
+
+def _invalid(problems: Iterable[str]) -> Reply:
+    """A call that can't be taken, now or later, and why."""
+    return Reply(400, [JSON], msgspec.json.encode({"problems": list(problems)}))
--- a/larklb/sluice/core.py
+++ b/larklb/sluice/core.py
@@ -40,8 +40,9 @@
         else:
             changed = schema.amend(document, call.body)
         schema.check(changed, int(document["version"]) if document is not None else 0)
-    except (InvalidError, WatermarkError) as error:
-        raise RefusedError(400, str(error)) from error
+    except WatermarkError as error:
+        problems = error.problems if isinstance(error, InvalidError) else ()
+        raise RefusedError(400, str(error), problems) from error
     return changed
 
 
--- a/larklb/sluice/culvert.py
+++ b/larklb/sluice/culvert.py
@@ -152,6 +152,7 @@
         """Ends all links."""
         if self.transport is not None:
             self.transport.close()
+            self.transport = None      # what is still to be said finds it closed, and would raise
         if self.server is not None:
             self.server.close()
         for task in list(self.tasks.values()):
--- a/larklb/sluice/front.py
+++ b/larklb/sluice/front.py
@@ -13,6 +13,7 @@
 import h11
 from attrs import define, field
 
+from larklb.manifold.assignment import caller_key
 from larklb.net.http import Link
 from larklb.sluice.servers import LEAST_MS, Message, Reply, Servers, passed_on
 from larklb.watermark.configuration import Configuration, Route, Tenant
@@ -44,11 +45,13 @@
     configuration: Configuration
     routes: Routes
     keys: Keys
+    stay: bool                     # some route's callers stay put
 
 
 def in_force(configuration: Configuration) -> InForce:
     """A checked configuration, ready for use."""
-    return InForce(configuration.version, configuration, Routes(configuration), Keys(configuration))
+    stay = any(route.affinity == "caller" for host in configuration.hosts for route in host.paths)
+    return InForce(configuration.version, configuration, Routes(configuration), Keys(configuration), stay)
 
 
 def refusal(status: int, again_ms: float = 0.0) -> Reply:
@@ -69,6 +72,7 @@
     random: random.Random
     count: Counter[str] = field(factory=Counter)
     now: InForce | None = None
+    stay: bool = False             # callers stay put where a route doesn't say
     background: set[asyncio.Task[tuple[End, Reply | None]]] = field(factory=set)
 
     async def answer(self, head: h11.Request, body: bytes, link: Link) -> Reply:
@@ -100,7 +104,12 @@
                 self.count["refused.quota"] += 1
                 return refusal(429, self._again(due, max(AGAIN_MS, verdict.retry_after_ms)))
         message = self._message(state, head, target, name, body, tenant)
-        return await self._served(route, message, began, due, link)
+        caller = None
+        if route.affinity == "caller" or route.affinity is None and self.stay:
+            finer = headers.get(route.affinity_header.lower().encode(), b"") if route.affinity_header else b""
+            caller = caller_key(tenant.name if tenant is not None else "", route.name,
+                                finer.decode("latin-1"))
+        return await self._served(route, message, began, due, link, caller)
 
     def _tenant(self, state: InForce, route: Route,
                 headers: dict[bytes, bytes]) -> tuple[Tenant | None, Reply | None]:
@@ -129,7 +138,8 @@
 
     # Attempts -----------------------------------------------------------------------------
 
-    async def _served(self, route: Route, message: Message, began: float, due: float, link: Link) -> Reply:
+    async def _served(self, route: Route, message: Message, began: float, due: float, link: Link,
+                      caller: int | None) -> Reply:
         safe = route.route_type == "safe"
         course, tried = Course(safe, route.tries), set[str]()
         service = service_of(route, self.random.random())
@@ -142,7 +152,7 @@
             if link.reader.ended() and not course.sent:
                 self.count["client_gone"] += 1
                 return Reply(502, close=True)
-            place = self._pick(now, route, service, tried)
+            place = self._pick(now, route, service, tried, caller)
             if place is None or course.costs() and not self.budget.may_repeat(now, place.target):
                 return self._own(course, last, due)
             tried.add(place.id)
@@ -164,8 +174,9 @@
                 return reply
             return self._own(course, step, due)
 
-    def _pick(self, now: float, route: Route, service: str, tried: set[str]) -> Place | None:
-        place = self.choice.pick(now, service, route.name, route.setpoint_ms, tried)
+    def _pick(self, now: float, route: Route, service: str, tried: set[str],
+              caller: int | None = None) -> Place | None:
+        place = self.choice.pick(now, service, route.name, route.setpoint_ms, tried, caller)
         if place is None:
             for other in targets(route):
                 if other != service:
--- a/larklb/sluice/main.py
+++ b/larklb/sluice/main.py
@@ -8,15 +8,19 @@
 import os
 import random
 import signal
+import sys
 import time
 from collections import Counter
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import Any
 
 from attrs import evolve
 
+from larklb.cistern.errors import CisternError
 from larklb.cistern.store import Store
+from larklb.headworks.errors import HeadworksError
 from larklb.headworks.words import Answer
 from larklb.outfalls import registry
 from larklb.outfalls.follower import Follower
@@ -28,15 +32,19 @@
 from larklb.sluice.core import Core
 from larklb.sluice.culvert import Culvert, Word
 from larklb.sluice.door import Bounds, Door
-from larklb.sluice.errors import SettingsError
+from larklb.sluice.errors import SettingsError, SluiceError
 from larklb.sluice.front import Front, in_force
 from larklb.sluice.servers import Reply, Servers
-from larklb.stations.members import LEAVING, Member, member_of
+from larklb.stations.members import LEAVING, UP, Member, member_of
+from larklb.turbines.choice import AbleChoice
+from larklb.turbines.errors import UnreadableError
+from larklb.turbines.estimates import Estimates
+from larklb.turbines.load import Hands
 from larklb.watermark import configuration as schema
 from larklb.watermark.configuration import Tenant
 from larklb.watermark.errors import WatermarkError
 from larklb.weirs.budget import Budget
-from larklb.weirs.choice import Choice, Place
+from larklb.weirs.choice import Place
 from larklb.weirs.quotas import Allowance, Ask, Bound, Quotas, Verdict
 from larklb.wheel import Timer, Wheel
 
@@ -45,6 +53,9 @@
 TICK_MS = 4.0              # of the wheel
 CORE_TURN_MS = 50.0        # between two turns of a core machine's duties ...
 TURN_MS = 100.0            # ... and of another limiter's
+HANDS_MS = 25.0            # between two words to near limiters of what is in hand, ...
+NEAR_MOST = 8              # ... where there are no more of them: each is sent some tens of words a second
+ABLE_MS = 500.0            # between two of what was found of servers
 SLOW_TURN_MS = 1_000.0     # between looks at the settings file, and at what has aged
 NOTES_MS = 300.0
 FETCH_MS = 300.0           # after a configuration was asked for and did not come
@@ -63,7 +74,8 @@
 class Limiter:
     """One process."""
 
-    def __init__(self, settings: told.Settings) -> None:
+    def __init__(self, settings: told.Settings, stay: bool = False) -> None:
+        """``stay``: callers stay put at their servers where a route doesn't say."""
         self.settings = settings
         self.wheel = Wheel(TICK_MS)
         self.random = random.Random(os.urandom(8))
@@ -81,7 +93,9 @@
             me = evolve(me, disk=disk)
             self.core = Core(settings, store, me, stored, now, self.random.randrange(1 << 30), self.culvert)
         self.follower = Follower(me, [host for host, _ in settings.seeds], changed=self._changed)
-        self.choice = Choice(settings.zone, settings.zones, self.random.randrange(1 << 30), limit=self._limit)
+        self.choice = AbleChoice(
+            settings.zone, settings.zones, self.random.randrange(1 << 30), limit=self._limit,
+            estimates=Estimates(life=me.life), hands=Hands(life=me.life))
         first = settings.bootstrap
         bounds = settings.bounds
         self.quotas = Quotas(
@@ -92,7 +106,7 @@
         sockets = max(64, settings.descriptors - RESERVED)
         self.servers = Servers(self.wheel, self.choice, int(sockets * SERVER_PART), self.count)
         self.front = Front(self.wheel, self.servers, self.choice, self.budget, self._quota, self.random,
-                           self.count)
+                           self.count, stay=stay)
         control = Control(self._server_call, self._operator_call, partial(status.document, self))
         self.edge = Door(self.wheel, self.front.answer, int(sockets * FRONT_PART))
         self.control = Door(self.wheel, control.answer, int(sockets * CONTROL_PART))
@@ -102,6 +116,8 @@
         self.verdicts: dict[int, tuple[asyncio.Future[Verdict], Timer]] = {}
         self.calls: dict[int, asyncio.Future[Word]] = {}
         self.called = 0
+        self.near: list[str] = []
+        self.able_at = -1e18
         self.fetched_at = self.slow_at = self.noted_at = -1e18
         self.leaving = asyncio.Event()
         self.stamp = self._stamp()
@@ -118,9 +134,34 @@
                 await door.start(*address)
         log.info("sluice: %s listens.", s.node)
         self._turn()
+        self._hands()
         await self.leaving.wait()
         await self._leave()
 
+    def _hands(self) -> None:
+        """Near limiters tell each other what they have in hand, and less often what they found of servers.
+
+        Where they are many the words would cost more than they bring, and each goes by what it sees."""
+        self.wheel.after(HANDS_MS, self._hands)
+        if self.front.now is None or not self.near:
+            return
+        now = self.wheel.now()
+        if (hands := self.choice.hand_words(now)) is not None:
+            for ip in self.near:
+                self.culvert.post(ip, {"k": "hands", "m": hands})
+        if now - self.able_at >= ABLE_MS:
+            self.able_at = now
+            able = self.choice.words(now)
+            for ip in self.near:
+                self.culvert.post(ip, {"k": "able", "m": able})
+
+    @staticmethod
+    def _hear_able(take: Callable[[], object]) -> None:
+        try:
+            take()
+        except UnreadableError as error:
+            raise ValueError(str(error)) from error
+
     # Turns --------------------------------------------------------------------------------
 
     def _turn(self) -> None:
@@ -144,6 +185,7 @@
         if now - self.slow_at >= SLOW_TURN_MS:
             self.slow_at = now
             self.quotas.clean(now)
+            self._assign(now)
             if other := self.follower.another_core(now, self.random.random()):
                 self.culvert.post(other, {"k": "peek"})      # a home that is cut off offers nothing new
             if self._stamp() != self.stamp:
@@ -181,6 +223,10 @@
         home = self.core.home if self.core is not None else None
         if kind == "quota":
             self._quota_word(now, ip, word)
+        elif kind == "hands":
+            self._hear_able(partial(self.choice.hear_hands, now, str(word["s"]), word["m"]))
+        elif kind == "able":
+            self._hear_able(partial(self.choice.hear, now, str(word["s"]), word["m"]))
         elif kind == "delta":
             self.follower.delta(now, word)
             if self.follower.offered[0] > self.version and now - self.fetched_at >= FETCH_MS:
@@ -273,10 +319,20 @@
         numbers = self.follower.numbers()
         self.by_number = {n: self.follower.members[node].ip for n, node in numbers.items()}
         self.quotas.members(now, numbers, me.number if me.number >= 0 else None)
+        near = [m.ip for m in self.follower.members.values()
+                if m.zone == me.zone and m.state == UP and m.node != me.node]
+        self.near = near if len(near) <= NEAR_MOST else []
+        self.choice.exchange = bool(self.near)
+        self.choice.peers(me.node, [(m.node, m.zone) for m in self.follower.members.values()])
         self.choice.update(
             Place(s.id, s.target, s.address, s.zone, s.slots, cold=now + s.cold if s.cold else -1e18,
                   draining=s.state != registry.STEADY, silent=s.silent)
             for s in self.follower.servers.values() if s.state != registry.GONE)
+        self._assign(now)
+
+    def _assign(self, now: float) -> None:
+        if self.front.stay or self.front.now is not None and self.front.now.stay:
+            self.choice.assign(now, self._limiters())
 
     def _limiters(self) -> int:
         return max(1, len(self.follower.members))
@@ -349,7 +405,7 @@
 
         self.core.call(self.wheel.now(), str(call["kind"]), int(call["base"]), str(call["body"]), settle)
         answer = await done
-        return Settled(answer.status, answer.text, answer.document)
+        return Settled(answer.status, answer.text, answer.document, problems=answer.problems)
 
     async def _ask(self, ip: str, word: Word) -> Word | None:
         """A call passed on to another limiter; None where no answer comes."""
@@ -456,17 +512,26 @@
 
 
 def main() -> int:
-    """Runs a limiter by the settings file that LARKLB_SETTINGS names; 2 where that can't be used."""
+    """Runs a limiter by the settings file that LARKLB_SETTINGS names; 2 where that or its disk is no good."""
     logging.basicConfig(level=os.environ.get("LARKLB_LOG", "INFO"), format="%(message)s")
     try:
         settings = told.read(os.environ.get("LARKLB_SETTINGS", "/etc/larklb/settings.toml"))
     except SettingsError as error:
         log.error("sluice: %s.", error)
         return 2
+    stay = sys.argv[1:] == ["--affinity", "caller"]
+    if not stay and sys.argv[1:] not in ([], ["--affinity", "none"]):
+        log.error("sluice: %s: only --affinity none or --affinity caller.", " ".join(sys.argv[1:]))
+        return 2
     gc.set_threshold(20_000, 20, 50)         # most of what a request makes is freed by its count alone
-    asyncio.run(partial(_serve, settings)())
-    return 0
+    return asyncio.run(_serve(settings, stay))
 
 
-async def _serve(settings: told.Settings) -> None:
-    await Limiter(settings).run()
+async def _serve(settings: told.Settings, stay: bool) -> int:
+    try:
+        limiter = Limiter(settings, stay)
+    except (CisternError, HeadworksError, SluiceError) as error:
+        log.error("sluice: %s: can't start with it: %s.", settings.data, error)
+        return 2
+    await limiter.run()
+    return 0
--- a/larklb/sluice/status.py
+++ b/larklb/sluice/status.py
@@ -93,8 +93,7 @@
 
 
 def _quotas(limiter: Limiter, query: Mapping[str, str]) -> Document:
-    rows = [row for row in limiter.quotas.rows(limiter.wheel.now())
-            if query.get("tenant", row["tenant"]) == row["tenant"]]
+    rows = limiter.quotas.rows(limiter.wheel.now(), query.get("tenant"))
     return _page("quotas", "tenant", rows, query)
 
 
@@ -104,12 +103,11 @@
                       "core": None}
     if core is not None:
         replica = core.replica
-        kept = replica._log        # the figures of a log have no public name; they are only read
         told["core"] = {
             "disk": core.disk, "folder": core.settings.data, "saving": core.saving is not None,
             "founded": replica.founded, "leads": replica.is_leader, "leader": replica.leader or "",
             "term": replica.term, "voters": replica.voters, "settled": replica.settled,
-            "version": replica.version, "last": kept.last, "commit": kept.commit,
+            "version": replica.version, "last": replica.last, "commit": replica.commit,
             "serves": core.home.ready and not core.home.hushed}
     return told
 
--- a/larklb/watermark/configuration.py
+++ b/larklb/watermark/configuration.py
@@ -165,7 +165,9 @@
 
     `timeout_ms` is how long a try may be held, `setpoint_ms` the time of full worth, `tries` the most servers
     that one try goes to, `precedence` the rank with 0 highest. `distribution` goes before `target`; one of
-    them is there.
+    them is there. `affinity` 'caller': requests of one caller stay at its server; the caller is the tenant
+    with the route and, if named, the value of the header `affinity_header`. Without it the program's default
+    holds.
     """
 
     name: str
@@ -180,6 +182,8 @@
     distribution: list[Share] = field(default_factory=list, metadata=wire("distribution", _shares))
     tries: int = field(default=1, metadata=wire("tries", at_least(1)))
     unkeyed: bool = False
+    affinity: str | None = field(default=None, metadata=wire("affinity", choice("none", "caller")))
+    affinity_header: str | None = field(default=None, metadata=wire("affinityHeader"))
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/larklb/weirs/choice.py
+++ b/larklb/weirs/choice.py
@@ -12,6 +12,9 @@
 
 from attrs import define, field
 
+from larklb.manifold.assignment import Assignment, warmed
+from larklb.manifold.callers import Callers
+
 LOAD_MS = 1_000.0          # a told load fades towards the service's mean with this time constant
 QUEUE = 2.0                # a server with so many times its slots in hand beyond them is full
 NEAR_PART = 0.12           # of the aim that another zone of the region costs: bytes between zones are dear
@@ -24,6 +27,7 @@
 OUT_MS = 400.0             # a server that failed rests for so long, twice as long after each more ...
 OUT_MOST_MS = 5_000.0      # ... up to this; then one request tries it
 SILENT_OUT_MS = 1_500.0    # ... and this is the first rest of one that said nothing
+TRY_MS = 1_000.0           # where all are said to be full, one whose word is older is tried
 SPREAD = 0.08              # of the cost, by chance: not all limiters should find the same one the best
 USUAL_MS = 150.0           # of a route before any answer
 USUAL_WEIGHT = 0.05
@@ -81,6 +85,8 @@
     mean_others: dict[str, float] = field(factory=dict)      # by target, for each slot
     random: random.Random = field(init=False)
     limit: Callable[[str], int] = lambda target: 1 << 30     # requests of this limiter that a server may have
+    assigned: dict[str, Assignment] = field(factory=dict)    # by target, where callers stay put
+    callers: Callers = field(factory=Callers)
 
     def __attrs_post_init__(self) -> None:
         self.random = random.Random(self.seed)
@@ -103,6 +109,36 @@
         for place in fresh.values():
             self.by_target.setdefault(place.target, []).append(place)
 
+    def assign(self, now: float, limiters: int) -> None:
+        """Callers that stay put are assigned to the servers that there are now, as warm as they are; called
+        after a change, and about once a second."""
+        for target in [t for t in self.assigned if t not in self.by_target]:
+            del self.assigned[target]
+        slots, count = 0, 0
+        for target, places in self.by_target.items():
+            there = [p for p in places if not p.draining]
+            assignment = self.assigned.setdefault(target, Assignment(floor=1.0))
+            assignment.servers(now, {p.id: warmed(float(p.slots), now, p.cold) for p in there},
+                               {p.id: p.zone for p in there})
+            slots, count = slots + sum(p.slots for p in there), count + len(there)
+        self.callers.limiters, self.callers.most = limiters, max(1, count)
+        self.callers.slots = slots / max(1, count) or 1.0
+
+    def _stay(self, now: float, target: str, caller: int, beside: Collection[str]) -> Place | None:
+        """The caller's own server, or the next in its order while that has no room."""
+        def load(name: str) -> float:
+            place = self.of.get(name)
+            if (place is None or place.draining or place.silent or place.trial or now < place.rests_until
+                    or place.out >= most):
+                return math.inf
+            held = self.load(now, place)
+            return math.inf if held >= place.slots * (1.0 + QUEUE) else held
+
+        most = self.limit(target)
+        name = self.assigned[target].choose(caller, load, beside, width=self.callers.width(now, caller),
+                                            zone=self.zone)
+        return self.of.get(name) if name is not None else None
+
     def usual_of(self, route: str) -> Usual:
         """How long the answers of a route take."""
         return self.usual.setdefault(route, Usual())
@@ -125,8 +161,14 @@
         return cost
 
     def pick(self, now: float, target: str, route: str, aim: float,
-             beside: Collection[str] = ()) -> Place | None:
-        """The server for one more request, not one of those ``beside``; None where none has room."""
+             beside: Collection[str] = (), caller: int | None = None) -> Place | None:
+        """The server for one more request, not one of those ``beside``; None where none has room.
+
+        A ``caller`` that stays put gets its own server while that has room."""
+        if caller is not None and target in self.assigned:
+            self.callers.seen(now, caller, self.usual_of(route).mean)
+            if (place := self._stay(now, target, caller, beside)) is not None:
+                return place
         usual, best, least = self.usual_of(route).mean, None, math.inf
         rest: list[Place] = []
         most = self.limit(target)
@@ -145,6 +187,10 @@
                 best, least = place, cost
         if best is None and rest:
             best = min(rest, key=lambda p: (p.silent, p.rests_until, self.random.random()))
+        if best is None:               # all are said to be full, which may be false
+            best = min((p for p in self.by_target.get(target, ())
+                        if not p.draining and p.id not in beside and p.out < min(most, p.slots)
+                        and now - p.others_at > TRY_MS), key=lambda p: p.others_at, default=None)
         return best
 
     def room(self, now: float, target: str) -> bool:
--- a/larklb/weirs/quotas.py
+++ b/larklb/weirs/quotas.py
@@ -24,8 +24,8 @@
 
 import math
 import random
-from collections.abc import Sequence
-from typing import Any, Final
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any, Final, TypeVar
 
 from attrs import define, field
 
@@ -71,6 +71,8 @@
 COPY: Final = "copy"
 SLICE: Final = "slice"
 
+T = TypeVar("T")
+
 
 @define(frozen=True)
 class Bound:
@@ -406,15 +408,16 @@
             if number not in self._live and now - peer.used > APART_MS:
                 del self._peers[number]
 
-    def rows(self, now: float) -> list[dict[str, Any]]:
-        """What an operator may want to see: a row per bucket owned here and per slice."""
+    def rows(self, now: float, only: str | None = None) -> list[dict[str, Any]]:
+        """What an operator may want to see: a row per bucket owned here and per slice, or those of ``only``
+        one tenant."""
         rows: list[dict[str, Any]] = []
-        for tenant, owned in self._owned.items():
+        for tenant, owned in _of(self._owned, only):
             self._check(now, owned)
             rows.append({"tenant": tenant, "role": "owner", "tokens": round(owned.bucket.tokens, 3),
                          "rate": owned.bucket.rate, "burst": owned.bucket.burst, "apart": owned.apart,
                          "askers": len(owned.askers)})
-        for tenant, part in self._slices.items():
+        for tenant, part in _of(self._slices, only):
             part.fill(now, self._limiters())
             rows.append({"tenant": tenant, "role": "asker", "tokens": round(part.tokens, 3),
                          "rate": part.rate, "burst": part.burst, "owner": self._owner(tenant),
@@ -654,6 +657,13 @@
             self._check(now, owned, again=True)
 
 
+def _of(table: Mapping[str, T], only: str | None) -> Iterable[tuple[str, T]]:
+    """All of a table by tenant, or one tenant's part."""
+    if only is None:
+        return table.items()
+    return [(only, table[only])] if only in table else []
+
+
 def _figure(message: dict[str, Any], key: str, least: float = 0.0) -> float:
     value = message.get(key)
     if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= BIG:
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,79 @@
+"""The emulator: the same day again, nothing lost, what servers do when full, what the choice gains in it."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from attrs import evolve
+
+from larklb.lab.emulator import Deployment, Emulator, Make, Trouble, flags, play, shop
+from larklb.lab.emulator_rivals import RIVALS
+from larklb.turbines.choice import AbleChoice
+from larklb.weirs.choice import Choice
+from larklb.weirs.tries import End
+
+SHORT = {"length": 12_000.0, "settling": 2_000.0}
+
+
+def maker(kind: type[Choice]) -> Make:
+    return lambda number, zone, regions, seed: kind(zone, regions, seed)
+
+
+def full(d: Deployment, on_full: str) -> Deployment:
+    """Few servers, short queues, nothing further to try."""
+    services = tuple(evolve(s, servers=3, queue=1, on_full=on_full) for s in d.services)
+    return evolve(d, services=services, load=1.3, routes=tuple(evolve(r, tries=1) for r in d.routes))
+
+
+@pytest.mark.parametrize("kind", [*RIVALS.values(), AbleChoice])
+def test_a_day_is_the_same_again_and_every_request_ends_once(kind: type[Choice]) -> None:
+    d = flags(**SHORT)
+    d = evolve(d, troubles=(Trouble("dark", 4_000.0, 3_000.0, "live", 0.2),
+                            Trouble("release", 3_000.0, 6_000.0, "history")))
+    one, again = (Emulator(d, maker(kind), 7) for _ in range(2))
+    first = one.run()
+    assert first.took == again.run().took
+    other = play(d, maker(RIVALS["round robin"]), 7)
+    assert {r: len(t) for r, t in first.took.items()} == {r: len(t) for r, t in other.took.items()}
+    assert all(p.out == 0 for m in one.limiters for p in m.choice.of.values())
+    assert not any(s.running or s.queue for s in one.servers.values())
+
+
+@pytest.mark.parametrize(("on_full", "end"), [
+    ("hang", End.SILENT), ("reset", End.BROKEN), ("refuse", End.NOT_RUN)])
+def test_full_servers_do_as_told(on_full: str, end: End) -> None:
+    figures = play(full(flags(**SHORT), on_full), maker(RIVALS["round robin"]), 1)
+    ends = {e: figures.count[f"end.{e.value}"] for e in (End.SILENT, End.BROKEN, End.NOT_RUN)}
+    assert ends[end] > 50
+    assert all(count == 0 for e, count in ends.items() if e not in (end, End.SILENT))
+
+
+def test_work_takes_as_long_as_it_is_told_to() -> None:
+    d = shop(load=0.05, wave=0.0, length=200_000.0)
+    d = evolve(d, services=tuple(evolve(s, speeds=(2.0,)) for s in d.services))
+    figures = play(d, maker(RIVALS["X-Load only"]), 1)
+    pull = figures.took["pull"]
+    assert sum(pull) / len(pull) == pytest.approx(400.0 / 2.0 + 2 * d.client, rel=0.05)
+    median = math.exp(math.log(400.0) - 0.5 ** 2 / 2.0) / 2.0
+    assert figures.at("pull", 0.5) == pytest.approx(median + 2 * d.client, rel=0.05)
+
+
+def test_the_choice_gains_and_the_weakest_serves() -> None:
+    d = flags(load=0.7, length=25_000.0, settling=5_000.0)
+    able, before = (play(d, maker(kind), 4) for kind in (AbleChoice, Choice))
+    assert able.in_aim() > before.in_aim() + 0.008
+    assert all(able.weakest(s) > 0.2 for s in able.taken)
+
+
+@pytest.mark.parametrize("tells", ["absent", "zero", "full", "stale"])
+def test_a_false_or_absent_load_costs_little(tells: str) -> None:
+    d = flags(**SHORT)
+    lied = evolve(d, services=tuple(evolve(s, tells=tells) for s in d.services))
+    assert play(lied, maker(AbleChoice), 2).in_aim() > 0.95
+
+
+def test_a_release_with_cold_newcomers_draws_no_herd() -> None:
+    d = flags(length=30_000.0)
+    d = evolve(d, troubles=(Trouble("release", 10_000.0, 15_000.0, "live"),))
+    assert play(d, maker(AbleChoice), 1).in_aim("lookup") > 0.93
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import subprocess
 import sys
 from collections.abc import Callable, Iterator
@@ -17,19 +18,25 @@
 import pytest
 import yaml
 from attrs import evolve
+from prometheus_client.parser import text_string_to_metric_families
+from typer.testing import CliRunner
 
 from larklb.cistern.store import Store
-from larklb.cli import system, system_calls
+from larklb.cli import app, system, system_calls
 from larklb.cli.system_calls import Caller, SilentError
 from larklb.headworks.replica import Replica
 from larklb.headworks.words import Call
+from larklb.lab import system as lab
 from larklb.lab.system import CHANGE, CONFIGURATION, Net, settings
 from larklb.outfalls.registry import Server
 from larklb.sluice import settings as told
 from larklb.sluice import status
+from larklb.sluice.control import Settled, settled_of
+from larklb.sluice.culvert import Culvert
 from larklb.sluice.main import Limiter
 from larklb.stations.members import Member
 from larklb.watermark import calls, configuration
+from larklb.watermark.errors import InvalidError
 from larklb.weirs.quotas import Allowance
 from tests.standins import ROOT
 
@@ -268,6 +275,47 @@
     assert quota[1].asked[-1][0] == f"{calls.QUOTAS}?tenant=a%20b"
 
 
+def test_metrics_as_the_librarys_own_parser_reads_them(answerer: Make,
+                                                       capsys: pytest.CaptureFixture[str]) -> None:
+    tenant = 'a "b"\\'
+    row = {"tenant": tenant, "tokens": 1.5, "rate": 4, "burst": 4}
+    server = {"id": "s", "service": "orders", "state": "steady", "silent": True}
+    part = {"disk": "d0", "term": 2, "leads": True, "leader": "d0", "settled": True, "version": 7, "last": 5,
+            "commit": 4, "voters": {"d0": "n0", "d1": "n1"}, "saving": False, "serves": True}
+
+    def one(**more: Any) -> dict[str, Any]:
+        return {"leaving": False, "counts": {"taken": 3, "end.answer": 2}, "words": {
+            "sent": 5, "sent_bytes": 700}, "open": {"clients": 1}, "quotas": [], "core": None, "more": 0,
+            "servers": [server, {**server, "id": "t", "state": "draining", "silent": False}], **more}
+
+    made = fleet(answerer, [
+        one(core=part, quotas=[{**row, "role": "owner", "apart": 1, "askers": 1}]),
+        # It was cut off, and still thinks that it leads.
+        one(core={**part, "disk": "d1", "term": 1}, quotas=[{**row, "role": "asker", "untold": 6}]), {}],
+        ["up"] * 3)
+    made[2].server.shutdown()
+    made[2].server.server_close()
+    assert system.main(["metrics", made[0].address]) == 1, "one is silent"
+    out, err = capsys.readouterr()
+    families = {family.name: family for family in text_string_to_metric_families(out)}
+    assert set(families) == {f"larklb_{name}" for name in (
+        "members up ready leaving uptime_seconds configuration_version events words word_bytes "
+        "open_connections servers servers_silent quota_tokens quota_rate quota_burst quota_apart "
+        "quota_untold core_leader core_settled core_voters core_term core_log_last core_log_commit "
+        "core_version core_saving core_serves").split()}, "dashboards know these names"
+    assert "n2: 127.0.0.1" in err and all(family.documentation for family in families.values())
+    found = {(s.name.removeprefix("larklb_"), *(value for _, value in sorted(s.labels.items()))): s.value
+             for family in families.values() for s in family.samples}
+    assert found[("up", "n0", "z")] == 1 and found[("up", "n2", "z")] == 0 and found[("members", "up")] == 3
+    assert found[("events_total", "end.answer", "n1")] == 2
+    assert found[("word_bytes_total", "sent", "n1")] == 700
+    assert found[("configuration_version", "n1")] == 7 and found[("members", "down")] == 0
+    assert [found[("servers", "orders", s)] for s in ("steady", "draining", "gone")] == [1, 1, 0]
+    assert found[("servers_silent", "orders")] == 1 and found[("quota_tokens", "n0", "owner", tenant)] == 1.5
+    assert found[("quota_untold", "n1", "asker", tenant)] == 6
+    assert [found[("core_leader", n)] for n in ("n0", "n1")] == [1, 0] and found[("core_settled",)] == 1
+
+
 def schema_of(api: Any, name: str) -> tuple[set[str], set[str]]:
     """Fields that an answer must have, and those that it may have."""
     schema = api["components"]["schemas"][name]
@@ -328,6 +376,58 @@
     assert not any(key in json.dumps(found) for key in KEYS)
 
 
+def test_a_refusal_tells_each_problem(tmp_path: Path) -> None:
+    file = put(tmp_path, "s.toml", settings(Net("127.1.2", 18000), 0, tmp_path, True))
+    bad = {**CONFIGURATION, "hosts": [{"host": "h", "paths": [{"name": "r", "prefix": "x; y"}]}],
+           "tenants": [{"name": "t", "ratePerS": -1}]}
+    with pytest.raises(InvalidError) as why:
+        configuration.check(bad, 0)
+    beat = json.dumps({"address": "nowhere", "info": {"target": "t", "capacity": 0},
+                       "observed": {"state": "odd", "sequence": 1}}).encode()
+    base = (calls.BASE_VERSION, "0")
+
+    async def refused() -> list[Any]:
+        limiter = Limiter(evolve(told.read(file), tolerance=0))
+        core, me, found = limiter.core, limiter.follower.me, []
+        assert core is not None
+        now = limiter.wheel.now()
+        core.replica.found(now, {core.disk: me.node})
+        for turn in range(60):
+            core.tick(now + 50.0 * turn, me)
+            while core.saving is not None:
+                await core.saving
+        for path, headers, body in ((calls.REPLACE, [base], json.dumps(bad).encode()),
+                                    (calls.REPLACE, [base], b"[]"), (calls.AMEND, [base], b"{}"),
+                                    (calls.REPLACE, [], b"{}"), (calls.REPLACE, [base], b"\xff"),
+                                    ("/larklb/instances/i/heartbeat", [], beat),
+                                    ("/larklb/instances/i/heartbeat", [], b"no")):
+            head = h11.Request(method="POST", target=path, headers=[("host", "x"), *headers])
+            reply = await limiter.control.answer(head, body, None)                # type: ignore[arg-type]
+            assert reply.status == 400 and (b"Content-Type", b"application/json") in reply.headers, path
+            found.append(json.loads(reply.body)["problems"])
+        core.close()
+        return found
+
+    found = asyncio.run(refused())
+    assert found[0] == why.value.problems and "x; y" in found[0][1], "each as the check told it"
+    assert all(problems and all(isinstance(line, str) for line in problems) for problems in found)
+    assert [line.split(":")[0] for line in found[5]] == ["address"], "the first of an item"
+    passed_on = settled_of(json.loads(json.dumps(Settled(400, "a; b", problems=("a; b", "c")).word())))
+    assert passed_on.problems == ("a; b", "c")
+
+
+def test_words_after_the_end_go_nowhere() -> None:
+    async def posted() -> int:
+        culvert = Culvert("n", "127.0.0.1", 0, lambda word: None)
+        await culvert.start()
+        await culvert.stop()
+        await asyncio.sleep(0)             # the transport is closed in the loop's next turn
+        culvert.post("127.0.0.2", {"k": "answer"})     # a call that was passed on is settled late
+        return culvert.counts["sent"]
+
+    assert asyncio.run(posted()) == 1
+
+
 # Disks --------------------------------------------------------------------------------------
 
 
@@ -394,6 +494,25 @@
     (folder / f"log-{foreign + 1}.dat").write_bytes(b"torn")
     assert system.main(["disk", "check", str(folder)]) == 1
     assert f"log-{foreign + 1}" in capsys.readouterr().err
+    # Whole, and yet no log: a limiter ends with one line, and an earlier log can take its place.
+    store.save({"log": after["log"]})
+    store.save({"log": b"{}"})
+    assert system.main(["disk", "check", str(folder)]) == 2
+    file = put(tmp_path, "s.toml", settings(Net("127.1.2", 18000), 0, tmp_path, True).replace(
+        f"{tmp_path}/disk-0", str(folder)))
+    ended = subprocess.run([sys.executable, "-m", "larklb.sluice"], cwd=ROOT, capture_output=True, text=True,
+                           env={**os.environ, "LARKLB_SETTINGS": file}, timeout=30)
+    assert ended.returncode == 2 and "Traceback" not in ended.stderr
+    assert f"sluice: {folder}: can't start with it: entries is no list." in ended.stderr
+    whole = min(g.number for g in store.dump() if g.key == "log" and g.whole)
+    assert system.main(["disk", "restore", str(folder), str(whole), "--yes"]) == 0
+    assert system.main(["disk", "check", str(folder)]) == 0
+    # Without votes a log is not loaded, but the disk's id would come back under the voter's.
+    for path in folder.glob("ballot-*"):
+        path.unlink()
+    capsys.readouterr()
+    assert system.main(["disk", "check", str(folder)]) == 1
+    assert "empty the folder, the id with it" in capsys.readouterr().err
 
 
 def test_a_disk_in_use_is_not_changed(tmp_path: Path, capsys: pytest.CaptureFixture[str],
@@ -409,11 +528,21 @@
 
 def test_the_serving_process_pays_nothing_for_the_commands() -> None:
     code = ("import larklb.sluice.main, sys; "
-            "print({'defopt', 'docutils', 'typer', 'click', 'larklb.cli'} & set(sys.modules))")
+            "print({'defopt', 'docutils', 'typer', 'click', 'larklb.cli', 'prometheus_client'} "
+            "& set(sys.modules))")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "set()"
 
 
+def test_the_trial_under_its_other_name(monkeypatch: pytest.MonkeyPatch) -> None:
+    def run(seconds: float, as_json: bool) -> int:
+        assert (seconds, as_json) == (12.0, False)
+        return 1
+
+    monkeypatch.setattr(lab, "run", run)
+    assert CliRunner().invoke(app, ["try", "--system"], catch_exceptions=False).exit_code == 1
+
+
 def test_the_trial_of_the_whole_system() -> None:
     done = subprocess.run([sys.executable, "-m", "larklb", "system", "try", "--seconds", "6"], cwd=ROOT,
                           capture_output=True, text=True, timeout=90)
