--- /dev/null
+++ b/tests/test_check_headworks.py
@@ -0,0 +1,97 @@
+"""The exhaustive check of three core machines: what holds to a small depth, and which faults it finds."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+import pytest
+
+from larklb.lab.check_headworks import (
+    SEEDED,
+    STARTS,
+    Explorer,
+    FoundError,
+    Machine,
+    Machines,
+    Outcome,
+    World,
+    main,
+    seeded,
+)
+
+
+@pytest.fixture(autouse=True)
+def no_words_of_failed_saves(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.ERROR, "larklb.headworks")
+
+
+def test_no_order_of_words_saves_and_faults_breaks_what_must_hold() -> None:
+    explorer = Explorer()
+    explorer.explore(3, 2, 1_000_000)
+    assert explorer.depth == 3 and explorer.worlds > 10_000
+    explorer.explore(6, 0, 1_000_000)
+    assert explorer.depth == 6 and explorer.worlds > 10_000
+
+
+SHORTEST = {                   # start, steps, faults looked for, and what breaks
+    "words-before-saves": ("uncommitted", 3, 2, "acknowledged, and on 1 disks"),
+    "votes-for-all": ("contest", 4, 2, "two lead"),
+    "base-not-compared": ("uncommitted", 5, 1, "two are acknowledged on one base"),
+    "snapshot-goes-back": ("snapshot", 4, 2, "goes back"),
+    "old-terms-heeded": ("deposed", 3, 2, "committed, and on 1 disks"),
+    "blank-disk-votes": ("snapshot", 3, 2, "blank disk of c votes"),
+    "failed-save-counts": ("uncommitted", 5, 2, "acknowledged, and on 1 disks"),
+    "vote-forgotten": ("contest", 6, 1, "two lead"),
+}
+
+
+@pytest.mark.parametrize("name", SEEDED)
+def test_each_fault_put_in_is_found_by_its_shortest_trace(name: str) -> None:
+    start, steps, faults, why = SHORTEST[name]
+    with pytest.raises(FoundError, match=why) as found:
+        seeded(name).explore(steps, faults, 1_000_000, (start,))
+    assert len(found.value.steps) == steps, "breadth first: no shorter one"
+
+
+def test_the_command_tells_the_trace(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["--depth", "3", "--start", "deposed", "--seeded", "old-terms-heeded"]) == 1
+    assert "3. taken of c to b arrives" in capsys.readouterr().out
+    assert main(["--depth", "2"]) == 0
+    assert "depth 2 reached whole" in capsys.readouterr().out
+
+
+class Plain(Machines):
+    """Merges no states, and plays each event anew."""
+
+    def state(self, machine: Machine) -> int:
+        self._state_of.clear()
+        return super().state(machine)
+
+    def happens(self, state: int, name: str, what: object) -> Outcome:
+        self._done.clear()
+        return super().happens(state, name, what)
+
+
+def test_states_that_are_merged_go_on_alike() -> None:
+    """Else a time or a field that matters is left out, or an event changes a state that others stand on."""
+    merged, rng = Explorer(), random.Random(5)
+    merged.explore(3, 2, 1_000_000)                # so that walks meet states which others were merged into
+
+    def shown(explorer: Explorer, world: World) -> object:
+        words = [[explorer.all.words[word] for word in link] for link in world.links]
+        return [explorer.all.faces[state] for state in world.of], words, world.history
+
+    for walk in range(140):
+        plain = Explorer()
+        plain.all = Plain(plain.all.make)
+        name = list(STARTS)[walk % len(STARTS)]
+        one, other = merged.start(name), plain.start(name)
+        for _ in range(25):
+            events = [event for event, _ in merged.events(one, rng.randrange(2))]
+            events += [event for event in events if event[0] in ("times out", "beats", "saves")] * 2
+            assert {event for event, _ in plain.events(other, 1)} >= set(events)
+            event = rng.choice(events)
+            merged.act(one, event)
+            plain.act(other, event)
+            assert shown(merged, one) == shown(plain, other), event
