--- a/tests/test_registry_machine.py
+++ b/tests/test_registry_machine.py
@@ -1,5 +1,5 @@
-"""Registrations and members at three core machines that exchange their rows at any time, beside a plain record
-of what servers and limiters themselves said."""
+"""Registrations and members at three core machines that exchange their rows at any time, beside a plain
+record of what servers and limiters themselves said."""
 
 from __future__ import annotations
 
