Tests of callers that stay put and of servers falsely said to be full

Change: a server that leaves moves exactly the callers that it held, through Choice; where all are said to be full one is tried after a second.

--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,43 @@
+"""The choice of server: callers that stay put, and servers that are falsely said to be full."""
+
+from __future__ import annotations
+
+import random
+
+from larklb.weirs.choice import TRY_MS, Choice, Place
+
+
+def places(names: range) -> list[Place]:
+    return [Place(f"i-{n}", "orders", f"10.0.0.{n}:80", "north", 4) for n in names]
+
+
+def held(choice: Choice, now: float) -> dict[int, str]:
+    drawn = random.Random(1)
+    callers = [drawn.getrandbits(64) for _ in range(400)]
+    found = {}
+    for caller in callers:
+        place = choice.pick(now, "orders", "r", 400.0, caller=caller)
+        assert place is not None
+        found[caller] = place.id
+    return found
+
+
+def test_a_server_that_leaves_moves_only_the_callers_that_it_held() -> None:
+    choice = Choice("north", {"north": "land"}, 1)
+    choice.update(places(range(12)))
+    choice.assign(0.0, 1)
+    before = held(choice, 0.0)
+    choice.update(places(range(1, 12)))
+    choice.assign(100.0, 1)
+    after = held(choice, 100.0)
+    moved = {caller for caller in before if before[caller] != after[caller]}
+    assert moved == {caller for caller, name in before.items() if name == "i-0"} and moved
+
+
+def test_where_all_are_said_to_be_full_one_is_tried_again() -> None:
+    choice = Choice("north", {"north": "land"}, 1)
+    choice.update(places(range(3)))
+    for place in choice.of.values():
+        choice.told(0.0, place, 4, 60)          # false, and told again with nothing
+    assert choice.pick(TRY_MS / 2, "orders", "r", 400.0) is None
+    assert choice.pick(TRY_MS * 1.1, "orders", "r", 400.0) is not None
