--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -45,14 +45,14 @@
 from larklb.outfalls.registry import DRAINING, Server
 from larklb.quota.ring import digest as ring_digest
 from larklb.quota.ring import ring_owner
+from larklb.schema import calls
+from larklb.schema import configuration as schema
 from larklb.sluice.core import Core, apply
 from larklb.sluice.culvert import Culvert, Word
 from larklb.sluice.front import in_force
 from larklb.sluice.main import Limiter
 from larklb.sluice.settings import Settings
 from larklb.stations.members import Member
-from larklb.watermark import calls
-from larklb.watermark import configuration as schema
 from larklb.weirs.choice import Choice, Place
 from larklb.weirs.quotas import Allowance, Ask, Quotas
 from larklb.wheel import Timer, Wheel
--- a/larklb/cli/system_calls.py
+++ b/larklb/cli/system_calls.py
@@ -14,8 +14,8 @@
 
 from attrs import define, field
 
-from larklb.watermark import calls, configuration
-from larklb.watermark.errors import InvalidError, WatermarkError
+from larklb.schema import calls, configuration
+from larklb.schema.errors import InvalidError, SchemaError
 
 DONE, OFF, UNUSABLE = 0, 1, 2          # exit statuses, see `larklb.cli.system`
 
@@ -67,7 +67,7 @@
         """The JSON object in it; SilentError where it is none, as whoever answers is no limiter."""
         try:
             return configuration.parse(self.body)
-        except WatermarkError as error:
+        except SchemaError as error:
             raise SilentError(f"{self.address}: its answer is {error}") from error
 
     def problems(self) -> list[str]:
@@ -219,7 +219,7 @@
         return configuration.parse(file.read_bytes())
     except OSError as error:
         raise UnusableError(f"{file}: {error.strerror}: must be a file with one JSON object") from error
-    except WatermarkError as error:
+    except SchemaError as error:
         raise UnusableError(f"{file}: {error}: must be one JSON object") from error
 
 
--- a/larklb/cli/system_live.py
+++ b/larklb/cli/system_live.py
@@ -18,7 +18,7 @@
     line,
     table,
 )
-from larklb.watermark import calls
+from larklb.schema import calls
 
 
 def _show(rows: list[Row], columns: tuple[str, ...], json: bool) -> None:
--- a/larklb/cli/system_metrics.py
+++ b/larklb/cli/system_metrics.py
@@ -16,7 +16,7 @@
 
 from larklb.cli.system_calls import Caller, Fleet, Row, asked, everyone
 from larklb.cli.system_live import leading
-from larklb.watermark import calls
+from larklb.schema import calls
 
 MEMBER_STATES = ("up", "leaving", "down")
 SERVER_STATES = ("steady", "draining", "gone")
--- a/larklb/lab/system.py
+++ b/larklb/lab/system.py
@@ -24,7 +24,7 @@
 from attrs import define, field
 
 from larklb.lab.yard import ROOT, read_head
-from larklb.watermark import calls, configuration
+from larklb.schema import calls, configuration
 
 LEAST_S = 6.0              # of requests, in which a killed limiter is back before the end
 START_S = 25.0             # for all limiters to be ready: a busy machine starts slowly
--- a/larklb/watermark/calls.py
+++ b/larklb/schema/calls.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Any, Literal
 
-from larklb.watermark.configuration import Item, at_least, choice, parse, problem, read, wire
-from larklb.watermark.errors import InvalidError
+from larklb.schema.configuration import Item, at_least, choice, parse, problem, read, wire
+from larklb.schema.errors import InvalidError
 
 # Full matches; the group is the server's id, bounded since it becomes a key of tables.
 HEARTBEAT = re.compile(r"/larklb/instances/([^/?#\s]{1,128})/heartbeat")
--- a/larklb/watermark/configuration.py
+++ b/larklb/schema/configuration.py
@@ -16,7 +16,7 @@
 from mashumaro.mixins.dict import DataClassDictMixin
 from xxhash import xxh3_128_hexdigest
 
-from larklb.watermark.errors import InvalidError, UnreadableError
+from larklb.schema.errors import InvalidError, UnreadableError
 
 Document = dict[str, Any]
 
--- a/larklb/watermark/errors.py
+++ b/larklb/schema/errors.py
@@ -6,15 +6,15 @@
 PROBLEMS_KEPT = 20
 
 
-class WatermarkError(Exception):
+class SchemaError(Exception):
     """Base of all errors of this package."""
 
 
-class UnreadableError(WatermarkError):
+class UnreadableError(SchemaError):
     """The bytes are no whole JSON object."""
 
 
-class InvalidError(WatermarkError):
+class InvalidError(SchemaError):
     """The JSON object says something that can't be taken.
 
     `problems`: 'field: value: what would do', the first PROBLEMS_KEPT of them.
--- a/larklb/watermark/routing.py
+++ b/larklb/schema/routing.py
@@ -1,6 +1,6 @@
 """Which route a request takes, which service runs it, and whose key it carries."""
 
-from larklb.watermark.configuration import Configuration, Route, Tenant, targets
+from larklb.schema.configuration import Configuration, Route, Tenant, targets
 
 __all__ = ["Keys", "Routes", "service_of", "targets"]
 
--- a/larklb/sluice/control.py
+++ b/larklb/sluice/control.py
@@ -1,4 +1,4 @@
-"""The control address: calls of servers and operators, as `watermark/openapi.yaml` has them.
+"""The control address: calls of servers and operators, as `schema/openapi.yaml` has them.
 
 What this limiter can't settle it passes on: servers' calls to its home, operators' calls to the leader.
 """
@@ -15,9 +15,9 @@
 
 from larklb.net.http import Link
 from larklb.outfalls.registry import DRAINING, STEADY, Server
+from larklb.schema import calls
+from larklb.schema.errors import PROBLEMS_KEPT, InvalidError, SchemaError
 from larklb.sluice.servers import Reply
-from larklb.watermark import calls
-from larklb.watermark.errors import PROBLEMS_KEPT, InvalidError, WatermarkError
 
 JSON = (b"Content-Type", b"application/json")
 MOST_FIELDS = 8            # of a query
@@ -71,7 +71,7 @@
                 return Reply(405)
             try:
                 told = calls.heartbeat(body)
-            except WatermarkError as error:
+            except SchemaError as error:
                 return _invalid(error.problems if isinstance(error, InvalidError) else [str(error)])
             server = Server(found[1], told.target, told.address, told.zone, told.capacity, told.version,
                             DRAINING if told.state == "draining" else STEADY, told.sequence,
--- a/larklb/sluice/core.py
+++ b/larklb/sluice/core.py
@@ -14,11 +14,11 @@
 from larklb.headworks.replica import Replica
 from larklb.headworks.words import Answer, Call, Ready
 from larklb.outfalls.home import Home
+from larklb.schema import configuration as schema
+from larklb.schema.errors import InvalidError, SchemaError
 from larklb.sluice.culvert import Culvert
 from larklb.sluice.settings import Settings
 from larklb.stations.members import Member
-from larklb.watermark import configuration as schema
-from larklb.watermark.errors import InvalidError, WatermarkError
 
 log = logging.getLogger("core")
 
@@ -40,7 +40,7 @@
         else:
             changed = schema.amend(document, call.body)
         schema.check(changed, int(document["version"]) if document is not None else 0)
-    except WatermarkError as error:
+    except SchemaError as error:
         problems = error.problems if isinstance(error, InvalidError) else ()
         raise RefusedError(400, str(error), problems) from error
     return changed
@@ -72,7 +72,7 @@
         """An operator's call at the leader; ``done`` is told what became of it, once."""
         try:
             document = schema.parse(body.encode()) if kind != "read" else {}
-        except WatermarkError as error:
+        except SchemaError as error:
             done(Answer(400, str(error), None))
             return
         identity = schema.digest({"kind": kind, "base": base, "body": document})
--- a/larklb/sluice/front.py
+++ b/larklb/sluice/front.py
@@ -15,9 +15,9 @@
 
 from larklb.manifold.assignment import caller_key
 from larklb.net.http import Link
+from larklb.schema.configuration import Configuration, Route, Tenant
+from larklb.schema.routing import Keys, Routes, service_of, targets
 from larklb.sluice.servers import LEAST_MS, Message, Reply, Servers, passed_on
-from larklb.watermark.configuration import Configuration, Route, Tenant
-from larklb.watermark.routing import Keys, Routes, service_of, targets
 from larklb.weirs.budget import Budget
 from larklb.weirs.choice import Choice, Place
 from larklb.weirs.quotas import Verdict
--- a/larklb/sluice/main.py
+++ b/larklb/sluice/main.py
@@ -26,6 +26,9 @@
 from larklb.outfalls.follower import Follower
 from larklb.outfalls.home import Home
 from larklb.outfalls.registry import Server
+from larklb.schema import configuration as schema
+from larklb.schema.configuration import Tenant
+from larklb.schema.errors import SchemaError
 from larklb.sluice import settings as told
 from larklb.sluice import status
 from larklb.sluice.control import AWAY, Control, Settled, settled_of
@@ -40,9 +43,6 @@
 from larklb.turbines.errors import UnreadableError
 from larklb.turbines.estimates import Estimates
 from larklb.turbines.load import Hands
-from larklb.watermark import configuration as schema
-from larklb.watermark.configuration import Tenant
-from larklb.watermark.errors import WatermarkError
 from larklb.weirs.budget import Budget
 from larklb.weirs.choice import Place
 from larklb.weirs.quotas import Allowance, Ask, Bound, Quotas, Verdict
@@ -299,7 +299,7 @@
             return
         try:
             checked = schema.check(document, self.version)
-        except WatermarkError as error:
+        except SchemaError as error:
             log.error("sluice: a configuration can't be used: %s.", error)
             return
         self.front.now = in_force(checked)
--- a/larklb/sluice/status.py
+++ b/larklb/sluice/status.py
@@ -10,8 +10,8 @@
 from typing import TYPE_CHECKING, Any
 
 from larklb.outfalls.registry import DRAINING, GONE, STEADY
+from larklb.schema import calls
 from larklb.sluice.errors import SluiceError
-from larklb.watermark import calls
 
 if TYPE_CHECKING:
     from larklb.sluice.main import Limiter
--- a/tests/test_watermark.py
+++ b/tests/test_schema.py
@@ -15,10 +15,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from larklb.watermark import calls, configuration
-from larklb.watermark.configuration import Configuration, amend, check, digest, parse
-from larklb.watermark.errors import PROBLEMS_KEPT, InvalidError, UnreadableError
-from larklb.watermark.routing import Keys, Routes
+from larklb.schema import calls, configuration
+from larklb.schema.configuration import Configuration, amend, check, digest, parse
+from larklb.schema.errors import PROBLEMS_KEPT, InvalidError, UnreadableError
+from larklb.schema.routing import Keys, Routes
 
 PLAIN = settings(derandomize=True, deadline=None, max_examples=150)
 
@@ -285,7 +285,7 @@
 
 
 def test_the_openapi_file_says_what_the_code_does() -> None:
-    api = yaml.safe_load(resources.files("larklb.watermark").joinpath("openapi.yaml").read_text("utf-8"))
+    api = yaml.safe_load(resources.files("larklb.schema").joinpath("openapi.yaml").read_text("utf-8"))
     heartbeat, leave, *rest = api["paths"]
     assert calls.HEARTBEAT.fullmatch(heartbeat.replace("{id}", "i-1")) and "{id}" in heartbeat
     assert calls.LEAVE.fullmatch(leave.replace("{id}", "i-1")) and not calls.LEAVE.fullmatch(heartbeat)
--- a/tests/test_sluice.py
+++ b/tests/test_sluice.py
@@ -14,12 +14,12 @@
 from attrs import define, field
 
 from larklb.net.http import dial
+from larklb.schema import configuration as schema
+from larklb.schema.configuration import Tenant
 from larklb.sluice import servers as servers_module
 from larklb.sluice.door import Bounds, Door
 from larklb.sluice.front import Front, in_force
 from larklb.sluice.servers import Servers
-from larklb.watermark import configuration as schema
-from larklb.watermark.configuration import Tenant
 from larklb.weirs.budget import Budget
 from larklb.weirs.choice import Choice, Place
 from larklb.weirs.quotas import Verdict
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -29,14 +29,14 @@
 from larklb.lab import system as lab
 from larklb.lab.system import CHANGE, CONFIGURATION, Net, settings
 from larklb.outfalls.registry import Server
+from larklb.schema import calls, configuration
+from larklb.schema.errors import InvalidError
 from larklb.sluice import settings as told
 from larklb.sluice import status
 from larklb.sluice.control import Settled, settled_of
 from larklb.sluice.culvert import Culvert
 from larklb.sluice.main import Limiter
 from larklb.stations.members import Member
-from larklb.watermark import calls, configuration
-from larklb.watermark.errors import InvalidError
 from larklb.weirs.quotas import Allowance
 from tests.standins import ROOT
 
@@ -328,7 +328,7 @@
 
 def test_what_a_limiter_tells_is_what_the_openapi_file_says(
         tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
-    api = yaml.safe_load(resources.files("larklb.watermark").joinpath("openapi.yaml").read_text("utf-8"))
+    api = yaml.safe_load(resources.files("larklb.schema").joinpath("openapi.yaml").read_text("utf-8"))
     assert [path for path in api["paths"] if path.startswith("/larklb/status/")] == list(calls.STATUS)
     file = put(tmp_path, "s.toml", settings(Net("127.1.2", 18000), 0, tmp_path, True))
 
