--- a/larklb/outfalls/home.py
+++ b/larklb/outfalls/home.py
@@ -13,7 +13,7 @@
 import xxhash
 from attrs import define, field
 
-from larklb.gauge.table import Event, Table
+from larklb.changefeed.table import Event, Table
 from larklb.outfalls import registry as servers
 from larklb.outfalls.registry import Registry, Server, server_of
 from larklb.quota.ring import digest
--- a/tests/test_outfalls.py
+++ b/tests/test_outfalls.py
@@ -16,8 +16,8 @@
 from hypothesis import settings as tries
 from hypothesis import strategies as st
 
-from larklb.gauge import table as gauge
-from larklb.gauge.table import Table
+from larklb.changefeed import table as gauge
+from larklb.changefeed.table import Table
 from larklb.outfalls import follower as follower_module
 from larklb.outfalls import registry
 from larklb.outfalls.follower import Follower
