--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -40,6 +40,7 @@
 from larklb.cistern.store import Store
 from larklb.headworks.log import encode
 from larklb.headworks.words import Answer, Call
+from larklb.membership.members import Member
 from larklb.outfalls.follower import Follower
 from larklb.outfalls.home import Home
 from larklb.outfalls.registry import DRAINING, Server
@@ -52,7 +53,6 @@
 from larklb.sluice.front import in_force
 from larklb.sluice.main import Limiter
 from larklb.sluice.settings import Settings
-from larklb.stations.members import Member
 from larklb.weirs.choice import Choice, Place
 from larklb.weirs.quotas import Allowance, Ask, Quotas
 from larklb.wheel import Timer, Wheel
--- a/larklb/outfalls/follower.py
+++ b/larklb/outfalls/follower.py
@@ -11,9 +11,9 @@
 
 from attrs import define, evolve, field
 
+from larklb.membership.members import BEAT_MS, UP, Member, member_of, order
 from larklb.outfalls.home import Words
 from larklb.outfalls.registry import GONE, Server, merged, server_of
-from larklb.stations.members import BEAT_MS, UP, Member, member_of, order
 
 HELLO_MS = 120.0           # between words to the seeds while there is no home, ...
 HELLO_CALM_MS = 2_000.0    # ... and while there is one, from a core machine: others must find it
--- a/larklb/outfalls/home.py
+++ b/larklb/outfalls/home.py
@@ -14,11 +14,11 @@
 from attrs import define, field
 
 from larklb.changefeed.table import Event, Table
+from larklb.membership import members as membership
+from larklb.membership.members import Heard, Member, Members, member_of
 from larklb.outfalls import registry as servers
 from larklb.outfalls.registry import Registry, Server, server_of
 from larklb.quota.ring import digest
-from larklb.stations import members as stations
-from larklb.stations.members import Heard, Member, Members, member_of
 
 SYNC_MS = 400.0            # between two words to each other core machine
 AGAIN_MS = 250.0           # what a subscriber has not shown to have is pushed again after so long, ...
@@ -108,7 +108,7 @@
     def _others(self, now: float) -> list[Heard]:
         """The other core machines that are to be told."""
         return [h for n, h in self.members.of.items() if h.member.disk and n != self.me.node
-                and now - h.at <= stations.FORGET_MS / 2]
+                and now - h.at <= membership.FORGET_MS / 2]
 
     def _tell_core(self, now: float, message: dict[str, Any]) -> None:
         self.out.extend((h.member.ip, message) for h in self._others(now))
@@ -195,7 +195,7 @@
                 del self.subscribers[node]
                 continue
             if at_once or sub.have < self.table.rev and self._may_push(now, sub):
-                if self.ready and not self.hushed and known.member.state != stations.DOWN:
+                if self.ready and not self.hushed and known.member.state != membership.DOWN:
                     self._push(now, sub, known.member, config)
 
     # Servers ------------------------------------------------------------------------------
@@ -306,7 +306,7 @@
             hashes = [xxhash.xxh3_64() for _ in range(RANGES)]
             for node in sorted(n for n, h in self.members.of.items() if not h.old):
                 m = self.members.of[node].member
-                state = stations.LEAVING if m.state == stations.LEAVING else stations.UP
+                state = membership.LEAVING if m.state == membership.LEAVING else membership.UP
                 hashes[range_of(node)].update(f"{node} {m.life} {state} {m.number} {m.granted};".encode())
             for name in sorted(n for n, k in self.registry.of.items() if not k.old):
                 s = self.registry.of[name].server
--- a/larklb/sluice/core.py
+++ b/larklb/sluice/core.py
@@ -13,12 +13,12 @@
 from larklb.headworks.errors import RefusedError
 from larklb.headworks.replica import Replica
 from larklb.headworks.words import Answer, Call, Ready
+from larklb.membership.members import Member
 from larklb.outfalls.home import Home
 from larklb.schema import configuration as schema
 from larklb.schema.errors import InvalidError, SchemaError
 from larklb.sluice.culvert import Culvert
 from larklb.sluice.settings import Settings
-from larklb.stations.members import Member
 
 log = logging.getLogger("core")
 
--- a/larklb/sluice/main.py
+++ b/larklb/sluice/main.py
@@ -22,6 +22,7 @@
 from larklb.cistern.store import Store
 from larklb.headworks.errors import HeadworksError
 from larklb.headworks.words import Answer
+from larklb.membership.members import LEAVING, UP, Member, member_of
 from larklb.outfalls import registry
 from larklb.outfalls.follower import Follower
 from larklb.outfalls.home import Home
@@ -38,7 +39,6 @@
 from larklb.sluice.errors import SettingsError, SluiceError
 from larklb.sluice.front import Front, in_force
 from larklb.sluice.servers import Reply, Servers
-from larklb.stations.members import LEAVING, UP, Member, member_of
 from larklb.turbines.choice import AbleChoice
 from larklb.turbines.errors import UnreadableError
 from larklb.turbines.estimates import Estimates
--- a/tests/test_outfalls.py
+++ b/tests/test_outfalls.py
@@ -18,13 +18,13 @@
 
 from larklb.changefeed import table as gauge
 from larklb.changefeed.table import Table
+from larklb.membership import members as membership
+from larklb.membership.members import LEAVING, UP, Member, Members, member_of
 from larklb.outfalls import follower as follower_module
 from larklb.outfalls import registry
 from larklb.outfalls.follower import Follower
 from larklb.outfalls.home import Home
 from larklb.outfalls.registry import DRAINING, GONE, STEADY, Server, server_of
-from larklb.stations import members as stations
-from larklb.stations.members import LEAVING, UP, Member, Members, member_of
 
 PERIOD = 1_500.0
 DRAIN = 2_500.0            # an acknowledged drain is known everywhere after it
@@ -718,7 +718,7 @@
 def test_limiter_that_is_down_is_known_as_down() -> None:
     net = calm(6)
     net.kill("a1")
-    net.run(stations.LEASE_MS + 1_200)
+    net.run(membership.LEASE_MS + 1_200)
     net.expect_settled()
     net.start("a1")
     net.run(1_500)
@@ -729,7 +729,7 @@
     """One that was cut off takes all others for down, and must not spread it."""
     net = calm(6)
     net.cut("m1")
-    net.run(stations.LEASE_MS + 3_000)
+    net.run(membership.LEASE_MS + 3_000)
     net.heal("m1")
     for _ in range(30):
         net.run(50)
@@ -790,7 +790,7 @@
     first, second, *_ = sorted((n for n in net.nodes if n[0] == "a"), key=lambda n: net.numbers()[n])
     net.kill(second)
     net.cut(first)
-    net.run(stations.FORGET_MS + 2_000)
+    net.run(membership.FORGET_MS + 2_000)
     net.start(second)
     net.run(3_000)
     assert net.numbers()[first] == net.numbers()[second]
@@ -805,7 +805,7 @@
     net.run(1_000)
     net.restart("a2")
     net.nodes["a2"].follower.me = evolve(net.nodes["a2"].follower.me, life=17)
-    net.run(stations.LEASE_MS + 2_000)
+    net.run(membership.LEASE_MS + 2_000)
     net.expect_settled()
 
 
@@ -819,7 +819,7 @@
     net.nodes["a3"].follower.me = evolve(net.nodes["a3"].follower.me, state=LEAVING)
     net.run(600)
     net.kill("a3")
-    net.run(stations.FORGET_MS + 8_000)
+    net.run(membership.FORGET_MS + 8_000)
     for node in net.nodes.values():
         if node.home is not None:
             assert not {"s0", "s1"} & node.home.registry.of.keys(), node.name
@@ -835,7 +835,7 @@
     net.nodes["a3"].follower.me = evolve(net.nodes["a3"].follower.me, state=LEAVING)
     net.run(600)
     net.kill("a3")
-    net.run(stations.LEASE_MS + 3_000)
+    net.run(membership.LEASE_MS + 3_000)
     before = {n: node.home.table.rev for n, node in net.nodes.items() if node.home is not None}
     net.run(5_000)
     assert before == {n: node.home.table.rev for n, node in net.nodes.items() if node.home is not None}
@@ -844,7 +844,7 @@
 def test_core_machine_that_was_forgotten_is_met_again() -> None:
     net = calm(6)
     net.cut("m0")
-    net.run(stations.FORGET_MS + 3_000)
+    net.run(membership.FORGET_MS + 3_000)
     net.heal("m0")
     net.run(6_000)
     net.expect_settled()
@@ -879,7 +879,7 @@
 
 def test_tables_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(registry, "MOST_SERVERS", 5)
-    monkeypatch.setattr(stations, "MOST_MEMBERS", 5)
+    monkeypatch.setattr(membership, "MOST_MEMBERS", 5)
     home = Home(Member("m", "10.0.0.1", "z", 1, "d"), PERIOD, 0.0, ready=True)
     answers: list[bool] = []
     for i in range(50):
@@ -941,7 +941,7 @@
 def records(order: list[int], members: list[Member], servers: list[Server]) -> None:
     """Records merge to the same in any order, and twice does nothing."""
     both: list[tuple[Callable[[Any, Any], Any], list[Any]]] = [
-        (stations.merged, list(members)), (registry.merged, list(servers))]
+        (membership.merged, list(members)), (registry.merged, list(servers))]
     for merge, found in both:
         one, two = found[0], found[order[0]]
         for i in range(4):
@@ -1016,7 +1016,7 @@
     "removal lost": (Table, "since", _no_floor, test_journal_tells_each_what_it_lacks),
     "numbers alike": (Members, "number", _numbers_alike, test_ring_numbers_outlast_a_restart),
     "merge by order": (registry, "merged", _first_wins, records),
-    "members merged by order": (stations, "merged", _first_wins, records),
+    "members merged by order": (membership, "merged", _first_wins, records),
     "digests alike": (Home, "_digests", _digests_alike, test_digests_mend_a_lost_row),
     "new home believed at once": (Follower, "_seen_whole", _forgets_at_once,
                                   test_turning_to_an_empty_home_loses_no_server_at_once),
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -28,6 +28,7 @@
 from larklb.headworks.words import Call
 from larklb.lab import system as lab
 from larklb.lab.system import CHANGE, CONFIGURATION, Net, settings
+from larklb.membership.members import Member
 from larklb.outfalls.registry import Server
 from larklb.schema import calls, configuration
 from larklb.schema.errors import InvalidError
@@ -36,7 +37,6 @@
 from larklb.sluice.control import Settled, settled_of
 from larklb.sluice.culvert import Culvert
 from larklb.sluice.main import Limiter
-from larklb.stations.members import Member
 from larklb.weirs.quotas import Allowance
 from tests.standins import ROOT
 
