--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -38,8 +38,8 @@
 
 from benchmarks.load import machine
 from larklb.cistern.store import Store
-from larklb.headworks.log import encode
-from larklb.headworks.words import Answer, Call
+from larklb.consensus.log import encode
+from larklb.consensus.words import Answer, Call
 from larklb.membership.members import Member
 from larklb.outfalls.follower import Follower
 from larklb.outfalls.home import Home
--- a/larklb/cli/system_disk.py
+++ b/larklb/cli/system_disk.py
@@ -11,11 +11,11 @@
 from larklb.cistern.errors import CisternError
 from larklb.cistern.store import IDENTITY, Store
 from larklb.cli.system_calls import DONE, OFF, Document, Row, UnusableError, complain, line, table
-from larklb.headworks.errors import HeadworksError
-from larklb.headworks.founding import Ballot
-from larklb.headworks.log import Log, decode
-from larklb.headworks.replica import Replica
-from larklb.headworks.words import Call
+from larklb.consensus.errors import ConsensusError
+from larklb.consensus.founding import Ballot
+from larklb.consensus.log import Log, decode
+from larklb.consensus.replica import Replica
+from larklb.consensus.words import Call
 
 LOG, BALLOT = "log", "ballot"
 RUNNING = "a limiter runs on it: stop that process first"
@@ -114,7 +114,7 @@
             told = {"folder": str(folder), "generation": generation, "from": now, "to": then, "done": yes}
             if yes:
                 store.save({LOG: value})
-        except (CisternError, HeadworksError) as error:
+        except (CisternError, ConsensusError) as error:
             raise UnusableError(f"{folder}: {error}") from error
     if json:
         line(told)
@@ -198,7 +198,7 @@
             known = _version(log.state.document)
             return (f"version {_version(_newest(log))}, {known} known as acknowledged, "
                     f"entries to {log.last}, voters {','.join(sorted(log.voters.values()))}")
-    except (HeadworksError, UnicodeDecodeError) as error:
+    except (ConsensusError, UnicodeDecodeError) as error:
         return f"can't be understood: {error}"
     return "unknown"
 
@@ -214,7 +214,7 @@
     """The version in a stored log; None where that can't be understood, which is a reason to replace it."""
     try:
         return _version(_newest(Log.read(value)))
-    except HeadworksError:
+    except ConsensusError:
         return None
 
 
@@ -227,7 +227,7 @@
         value = Store(folder).value(LOG, number)
         if value is not None:
             return Log.read(value)
-    except (CisternError, HeadworksError) as error:
+    except (CisternError, ConsensusError) as error:
         raise UnusableError(f"{folder}: log-{number}: {error}") from error
     there = [str(row["number"]) for row in _rows(folder) if row["key"] == LOG and row["whole"]]
     raise UnusableError(f"{folder}: log-{number}: no whole generation: must be one of "
@@ -258,6 +258,6 @@
 
     try:
         return Replica("", "", stored or None, 0.0, 0, tolerance=1, apply=apply)
-    except HeadworksError as error:
+    except ConsensusError as error:
         raise UnusableError(f"{folder}: a limiter could not start with it: {error}") from error
 
--- a/larklb/headworks/errors.py
+++ b/larklb/consensus/errors.py
@@ -5,15 +5,15 @@
 from collections.abc import Iterable
 
 
-class HeadworksError(Exception):
+class ConsensusError(Exception):
     """Base of all errors of this package."""
 
 
-class MalformedError(HeadworksError):
+class MalformedError(ConsensusError):
     """A message or a stored value doesn't have the shape that it must have."""
 
 
-class RefusedError(HeadworksError):
+class RefusedError(ConsensusError):
     """A change that is invalid against the current document; raised by the ``apply`` of the caller.
 
     ``problems``: each thing wrong with it, where the caller knows them apart; else the text alone."""
--- a/larklb/headworks/founding.py
+++ b/larklb/consensus/founding.py
@@ -15,8 +15,8 @@
 
 from attrs import define, field
 
-from larklb.headworks.group import majority
-from larklb.headworks.words import flag, names, number, string
+from larklb.consensus.group import majority
+from larklb.consensus.words import flag, names, number, string
 
 NONCE_BITS = 64
 
--- a/larklb/headworks/log.py
+++ b/larklb/consensus/log.py
@@ -8,8 +8,8 @@
 
 from attrs import define, field
 
-from larklb.headworks.errors import HeadworksError, MalformedError
-from larklb.headworks.words import mapping, names, number, string
+from larklb.consensus.errors import ConsensusError, MalformedError
+from larklb.consensus.words import mapping, names, number, string
 
 HISTORY = 64               # identities of taken changes that are known again when a call is repeated
 KEPT_BYTES = 65536         # of committed entries kept behind the snapshot: who lags gets small ones by ...
@@ -122,7 +122,7 @@
     def with_entry(self, entry: Entry) -> Snapshot:
         """The state after the next entry."""
         if entry.index != self.index + 1:
-            raise HeadworksError("an entry was taken out of its turn")
+            raise ConsensusError("an entry was taken out of its turn")
         voters, history, document, encoded = self.voters, self.history, self.document, self.encoded
         if entry.kind == "document":
             document, encoded = entry.document, entry.encoded
@@ -204,7 +204,7 @@
 
     def append(self, entry: Entry) -> None:
         if entry.index != self.last + 1:
-            raise HeadworksError("an entry was appended out of its turn")
+            raise ConsensusError("an entry was appended out of its turn")
         self.entries.append(entry)
 
     def merge(self, prev: int, entries: Iterable[Entry]) -> bool:
--- a/larklb/headworks/replica.py
+++ b/larklb/consensus/replica.py
@@ -15,14 +15,14 @@
 
 from attrs import define
 
-from larklb.headworks.calls import FULL, LATE, LEFT, Calls
-from larklb.headworks.errors import HeadworksError, MalformedError, RefusedError
-from larklb.headworks.founding import Ballot, new_nonce
-from larklb.headworks.group import Hearing, majority, next_voters
-from larklb.headworks.log import Entry, Log, Snapshot, decode, encode
-from larklb.headworks.words import Answer, Call, Ready, flag, mapping, names, number, pair, string
+from larklb.consensus.calls import FULL, LATE, LEFT, Calls
+from larklb.consensus.errors import ConsensusError, MalformedError, RefusedError
+from larklb.consensus.founding import Ballot, new_nonce
+from larklb.consensus.group import Hearing, majority, next_voters
+from larklb.consensus.log import Entry, Log, Snapshot, decode, encode
+from larklb.consensus.words import Answer, Call, Ready, flag, mapping, names, number, pair, string
 
-__all__ = ["Answer", "Call", "HeadworksError", "Ready", "RefusedError", "Replica"]
+__all__ = ["Answer", "Call", "ConsensusError", "Ready", "RefusedError", "Replica"]
 
 log = logging.getLogger(__name__)
 
@@ -62,7 +62,7 @@
     """``disk`` is the disk's id (a new one for an emptied disk), ``stored`` what its last saves left (all
     keys) or None, ``now`` in ms as in all calls, ``tolerance`` the disks that may be lost at once. ``apply``
     makes the new document of a change, with an integer ``version`` above the current one's, and raises
-    RefusedError if it is invalid. Raises HeadworksError if ``stored`` can't be understood."""
+    RefusedError if it is invalid. Raises ConsensusError if ``stored`` can't be understood."""
 
     def __init__(self, disk: str, node: str, stored: dict[str, bytes] | None, now: float, seed: int, *,
                  tolerance: int, apply: Callable[[dict[str, Any] | None, Call], dict[str, Any]]) -> None:
@@ -238,7 +238,7 @@
             if "log" in keys:
                 self._durable = self._saving_last
         else:
-            log.warning("headworks: a save of %s failed", self.disk)
+            log.warning("consensus: a save of %s failed", self.disk)
             self._failed = self._now
             self._dirty |= keys
             self._outbox.clear()
@@ -289,7 +289,7 @@
             elif kind == "canvass" and self._ballot.bound:
                 self._tell_held(sender)
         except MalformedError as error:
-            log.warning("headworks: ignored a message from %s: %s", sender, error)
+            log.warning("consensus: ignored a message from %s: %s", sender, error)
 
     # Terms and elections
 
@@ -306,7 +306,7 @@
         self._role, self.leader = "follower", None
 
     def _step_down(self, why: str) -> None:
-        log.info("headworks: %s leads no more in term %d: %s", self.disk, self.term, why)
+        log.info("consensus: %s leads no more in term %d: %s", self.disk, self.term, why)
         self._role, self.leader = "follower", None
         self._peers.clear()
         self._deadline = self._draw()
@@ -456,7 +456,7 @@
     # Leading
 
     def _lead(self) -> None:
-        log.info("headworks: %s leads in term %d", self.disk, self.term)
+        log.info("consensus: %s leads in term %d", self.disk, self.term)
         self._role, self.leader = "leader", self.disk
         self._peers = {}
         self._roster()
@@ -500,7 +500,7 @@
         voters = next_voters(self._log.voters, self.disk, ready, self._hearing, self._now,
                              size=self._log.state.size, tolerance=self._tolerance)
         if voters is not None:
-            log.info("headworks: the voters become %s", sorted(voters.values()))
+            log.info("consensus: the voters become %s", sorted(voters.values()))
             self._append("voters", voters=voters)
             self._roster()
 
--- a/larklb/headworks/words.py
+++ b/larklb/consensus/words.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from larklb.headworks.errors import MalformedError
+from larklb.consensus.errors import MalformedError
 
 MOST_VOTERS = 32           # in any list that a message brings; far above any group that can be founded
 
--- a/larklb/lab/check_headworks.py
+++ b/larklb/lab/check_headworks.py
@@ -23,7 +23,7 @@
 process each, reached whole, with nothing broken: depth 6 with two faults, 3,617,986 worlds (74 s, 873 MB);
 depth 7 with one, 4,874,022 (112 s, 1,191 MB); depth 9 with none, 4,963,942 (109 s, 1,256 MB).  What takes
 more events from each of ``STARTS`` lies beyond: an acknowledgement that outlives the entry it tells of
-(replies kept over a new term) isn't found at depth 5 with two faults; ``test_headworks`` guards against it.
+(replies kept over a new term) isn't found at depth 5 with two faults; ``test_consensus`` guards against it.
 """
 
 from __future__ import annotations
@@ -43,10 +43,10 @@
 import attrs
 from attrs import define, evolve, field, frozen
 
-from larklb.headworks.founding import Ballot
-from larklb.headworks.group import HEARD_MS, SILENT_MS
-from larklb.headworks.log import Log
-from larklb.headworks.replica import (
+from larklb.consensus.founding import Ballot
+from larklb.consensus.group import HEARD_MS, SILENT_MS
+from larklb.consensus.log import Log
+from larklb.consensus.replica import (
     ELECTION_MS,
     FOUND_MS,
     HANG_MS,
@@ -721,7 +721,7 @@
     parser.add_argument("--start", choices=sorted(STARTS), default="", help="from this one alone")
     parser.add_argument("--seeded", choices=sorted(SEEDED), default="", help="a fault put in")
     options = parser.parse_args(arguments)
-    logging.getLogger("larklb.headworks").setLevel(logging.ERROR)    # failed saves are events here
+    logging.getLogger("larklb.consensus").setLevel(logging.ERROR)    # failed saves are events here
     explorer, found = seeded(options.seeded), None
     starts = (options.start,) if options.start else tuple(STARTS)
     try:
--- a/larklb/sluice/core.py
+++ b/larklb/sluice/core.py
@@ -10,9 +10,9 @@
 
 from larklb.cistern.errors import CisternError
 from larklb.cistern.store import Store
-from larklb.headworks.errors import RefusedError
-from larklb.headworks.replica import Replica
-from larklb.headworks.words import Answer, Call, Ready
+from larklb.consensus.errors import RefusedError
+from larklb.consensus.replica import Replica
+from larklb.consensus.words import Answer, Call, Ready
 from larklb.membership.members import Member
 from larklb.outfalls.home import Home
 from larklb.schema import configuration as schema
--- a/larklb/sluice/main.py
+++ b/larklb/sluice/main.py
@@ -20,8 +20,8 @@
 
 from larklb.cistern.errors import CisternError
 from larklb.cistern.store import Store
-from larklb.headworks.errors import HeadworksError
-from larklb.headworks.words import Answer
+from larklb.consensus.errors import ConsensusError
+from larklb.consensus.words import Answer
 from larklb.membership.members import LEAVING, UP, Member, member_of
 from larklb.outfalls import registry
 from larklb.outfalls.follower import Follower
@@ -530,7 +530,7 @@
 async def _serve(settings: told.Settings, stay: bool) -> int:
     try:
         limiter = Limiter(settings, stay)
-    except (CisternError, HeadworksError, SluiceError) as error:
+    except (CisternError, ConsensusError, SluiceError) as error:
         log.error("sluice: %s: can't start with it: %s.", settings.data, error)
         return 2
     await limiter.run()
--- a/tests/test_check_headworks.py
+++ b/tests/test_check_consensus.py
@@ -23,7 +23,7 @@
 
 @pytest.fixture(autouse=True)
 def no_words_of_failed_saves(caplog: pytest.LogCaptureFixture) -> None:
-    caplog.set_level(logging.ERROR, "larklb.headworks")
+    caplog.set_level(logging.ERROR, "larklb.consensus")
 
 
 def test_no_order_of_words_saves_and_faults_breaks_what_must_hold() -> None:
--- a/tests/test_headworks.py
+++ b/tests/test_consensus.py
@@ -19,10 +19,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule, run_state_machine_as_test
 
-from larklb.headworks.calls import Calls
-from larklb.headworks.group import Hearing, next_voters
-from larklb.headworks.log import Entry, Log, Snapshot
-from larklb.headworks.replica import Answer, Call, Ready, RefusedError, Replica
+from larklb.consensus.calls import Calls
+from larklb.consensus.group import Hearing, next_voters
+from larklb.consensus.log import Entry, Log, Snapshot
+from larklb.consensus.replica import Answer, Call, Ready, RefusedError, Replica
 
 Prepare = Callable[["World"], None]
 
@@ -832,7 +832,7 @@
 
 
 def repeat_not_known(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr("larklb.headworks.log.HISTORY", 0)
+    patch.setattr("larklb.consensus.log.HISTORY", 0)
     with_entry = Snapshot.with_entry
     patch.setattr(Snapshot, "with_entry", lambda self, entry: with_entry(self, Entry(
         entry.index, entry.term, entry.kind, entry.document, "", entry.voters, entry.encoded)))
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -24,8 +24,8 @@
 from larklb.cistern.store import Store
 from larklb.cli import app, system, system_calls
 from larklb.cli.system_calls import Caller, SilentError
-from larklb.headworks.replica import Replica
-from larklb.headworks.words import Call
+from larklb.consensus.replica import Replica
+from larklb.consensus.words import Call
 from larklb.lab import system as lab
 from larklb.lab.system import CHANGE, CONFIGURATION, Net, settings
 from larklb.membership.members import Member
