--- a/larklb/weirs/errors.py
+++ b/larklb/admission/errors.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 
-class WeirsError(Exception):
+class AdmissionError(Exception):
     """The base of all errors of the package."""
 
 
-class UnreadableError(WeirsError):
+class UnreadableError(AdmissionError):
     """A word of another limiter that makes no sense."""
--- a/larklb/weirs/quotas.py
+++ b/larklb/admission/quotas.py
@@ -29,10 +29,10 @@
 
 from attrs import define, field
 
+from larklb.admission.errors import UnreadableError
 from larklb.quota.breaker import CircuitBreaker
 from larklb.quota.bucket import TokenBucket
 from larklb.quota.ring import digest, ring_owner
-from larklb.weirs.errors import UnreadableError
 
 TENANTS = 200_000          # tracked at once, in each table
 ASKS_OUT = 4096            # waiting for a verdict; beyond it the slice decides
--- a/larklb/lab/emulator_rivals.py
+++ b/larklb/lab/emulator_rivals.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from larklb.weirs.choice import Choice, Place
+from larklb.admission.choice import Choice, Place
 
 
 @define
--- a/larklb/sluice/front.py
+++ b/larklb/sluice/front.py
@@ -13,15 +13,15 @@
 import h11
 from attrs import define, field
 
+from larklb.admission.budget import Budget
+from larklb.admission.choice import Choice, Place
+from larklb.admission.quotas import Verdict
+from larklb.admission.tries import Course, End, Next
 from larklb.manifold.assignment import caller_key
 from larklb.net.http import Link
 from larklb.schema.configuration import Configuration, Route, Tenant
 from larklb.schema.routing import Keys, Routes, service_of, targets
 from larklb.sluice.servers import LEAST_MS, Message, Reply, Servers, passed_on
-from larklb.weirs.budget import Budget
-from larklb.weirs.choice import Choice, Place
-from larklb.weirs.quotas import Verdict
-from larklb.weirs.tries import Course, End, Next
 from larklb.wheel import Wheel
 
 MARGIN_MS = 12.0           # of the client's time that is left for the answer's way back
--- a/larklb/sluice/main.py
+++ b/larklb/sluice/main.py
@@ -18,6 +18,9 @@
 
 from attrs import evolve
 
+from larklb.admission.budget import Budget
+from larklb.admission.choice import Place
+from larklb.admission.quotas import Allowance, Ask, Bound, Quotas, Verdict
 from larklb.cistern.errors import CisternError
 from larklb.cistern.store import Store
 from larklb.consensus.errors import ConsensusError
@@ -43,9 +46,6 @@
 from larklb.turbines.errors import UnreadableError
 from larklb.turbines.estimates import Estimates
 from larklb.turbines.load import Hands
-from larklb.weirs.budget import Budget
-from larklb.weirs.choice import Place
-from larklb.weirs.quotas import Allowance, Ask, Bound, Quotas, Verdict
 from larklb.wheel import Timer, Wheel
 
 log = logging.getLogger("sluice")
--- a/larklb/sluice/servers.py
+++ b/larklb/sluice/servers.py
@@ -14,9 +14,9 @@
 import h11
 from attrs import define, field
 
+from larklb.admission.choice import Choice, Place
+from larklb.admission.tries import End
 from larklb.net.http import LateError, Link, TooLongError, dial, finished
-from larklb.weirs.choice import Choice, Place
-from larklb.weirs.tries import End
 from larklb.wheel import Timer, Wheel
 
 MOST_ANSWER = 32 * 1024 * 1024    # bytes of an answer that are held
--- a/larklb/turbines/choice.py
+++ b/larklb/turbines/choice.py
@@ -1,6 +1,6 @@
 """The choice of server by expected end of a request, from what each server is seen to handle.
 
-Takes the place of ``larklb.weirs.choice.Choice``: the same calls, with the exchange between limiters besides.
+Takes the place of ``larklb.admission.choice.Choice``: the same calls, with the exchange between limiters besides.
 """
 
 from __future__ import annotations
@@ -11,11 +11,11 @@
 
 from attrs import define, field
 
+from larklb.admission import choice as admission
+from larklb.admission.choice import Choice, Place
 from larklb.quota.ring import digest
 from larklb.turbines.estimates import Ability, Estimates, Sums
 from larklb.turbines.load import TRUST_LEAST, Hands, Others, bearable, waiting
-from larklb.weirs import choice as weirs
-from larklb.weirs.choice import Choice, Place
 
 FRESH_MS = 250.0           # an ability is judged anew after so long, or after news
 NEW_MS = 4_000.0           # a server that is new, warm or back for less is expected to have what others
@@ -46,7 +46,7 @@
 class Norm:
     """What is usual for a route at speed 1: mean and spread of the logarithm of the service time."""
 
-    mean: float = math.log(weirs.USUAL_MS)
+    mean: float = math.log(admission.USUAL_MS)
     variance: float = SPREAD_FIRST ** 2
     seen: int = 0
 
@@ -177,7 +177,7 @@
         seen.hand_at = now
 
     def _factor(self, now: float, place: Place, seen: Seen) -> float:
-        return seen.factor * (weirs.COLD if now < place.cold else 1.0)
+        return seen.factor * (admission.COLD if now < place.cold else 1.0)
 
     def _mean(self, now: float, place: Place, seen: Seen) -> float:
         """Requests of others whose word on what is in hand doesn't hold just now."""
@@ -207,7 +207,7 @@
         if not self.exchange:
             return Choice.load(self, now, place)
         seen = self.seen[place.id]
-        work = self.works.get(place.target, weirs.USUAL_MS) * seen.factor
+        work = self.works.get(place.target, admission.USUAL_MS) * seen.factor
         return place.out + sum(self.crowd(now, place, seen, work))
 
     # Choice ---------------------------------------------------------------------------------
@@ -224,7 +224,7 @@
                 return place
         if aim > self.aims.get(target, 0.0):
             self.aims[target] = aim
-        norm, usual = self.norm(route), self.works.get(target, weirs.USUAL_MS)
+        norm, usual = self.norm(route), self.works.get(target, admission.USUAL_MS)
         work, longest = norm.work(), self.aims[target]
         middle, steep = norm.mean, 1.702 / math.sqrt(max(norm.variance, 0.01))
         best, least, most = None, math.inf, self.limit(target)
@@ -237,7 +237,7 @@
             seen = all_seen[place.id]
             if now - seen.judged > FRESH_MS:
                 self._judge(now, place, seen)
-            factor = seen.factor if now >= place.cold else seen.factor * weirs.COLD
+            factor = seen.factor if now >= place.cold else seen.factor * admission.COLD
             each = usual * factor
             known, others = self.crowd(now, place, seen, each)
             slots, known = place.slots or 1, known + place.out - seen.lost
@@ -268,7 +268,7 @@
         return best
 
     def room(self, now: float, target: str) -> bool:
-        usual, aim = self.works.get(target, weirs.USUAL_MS), self.aims.get(target, math.inf)
+        usual, aim = self.works.get(target, admission.USUAL_MS), self.aims.get(target, math.inf)
         return any(not p.draining
                    and self.load(now, p) < bearable(max(1, p.slots), usual, self.seen[p.id].factor, aim)
                    for p in self.by_target.get(target, ()))
@@ -330,7 +330,7 @@
             self._settle()
             return
         ended, self.ended, self.clock = self.ended, None, now
-        usual = max(1.0, self.works.get(place.target, weirs.USUAL_MS) * self._factor(now, place, seen))
+        usual = max(1.0, self.works.get(place.target, admission.USUAL_MS) * self._factor(now, place, seen))
         took = ended[2] if ended is not None and ended[0] is place else usual
         seen.others.told(now, running, waiting, place.slots, place.out, took / usual)
         if ended is None or ended[0] is not place:
@@ -353,7 +353,7 @@
     def _sample(self, now: float, place: Place, seen: Seen, route: str, took: float,
                 before: float | None) -> None:
         """One service time; ``before``: requests for each slot that were before it, None where not told."""
-        usual = self.works.get(place.target, weirs.USUAL_MS)
+        usual = self.works.get(place.target, admission.USUAL_MS)
         factor, weight = self._factor(now, place, seen), 1.0
         if before is None:
             known, others = self.crowd(now, place, seen, usual * factor)
@@ -364,7 +364,7 @@
         if now - took < place.cold:
             weight = QUEUED_WEIGHT
         worked = max(0.2 * took, took - before * usual * factor, 0.5)
-        cold = math.log(weirs.COLD) if now - took < place.cold else 0.0
+        cold = math.log(admission.COLD) if now - took < place.cold else 0.0
         norm, x = self.norm(route), math.log(worked) - cold
         if norm.seen >= 8:
             variance = max(0.2, norm.variance)
@@ -378,7 +378,7 @@
         Choice.full(self, now, place)
         seen = self.seen.get(place.id)
         if seen is not None:
-            seen.others.last = max(seen.others.mean, place.slots * (1.0 + weirs.QUEUE))
+            seen.others.last = max(seen.others.mean, place.slots * (1.0 + admission.QUEUE))
             seen.others.mean, seen.others.at = max(seen.others.mean, 0.0), now
 
     def failed(self, now: float, place: Place, silent: bool) -> None:
--- a/tests/test_weirs.py
+++ b/tests/test_admission.py
@@ -14,11 +14,11 @@
 from hypothesis import settings as tries
 from hypothesis import strategies as st
 
+from larklb.admission import quotas as q
+from larklb.admission.budget import Budget
+from larklb.admission.quotas import Allowance, Ask, Quotas, Verdict
 from larklb.quota.breaker import CircuitBreaker
 from larklb.quota.ring import digest, ring_owner
-from larklb.weirs import quotas as q
-from larklb.weirs.budget import Budget
-from larklb.weirs.quotas import Allowance, Ask, Quotas, Verdict
 
 N = 12
 WINDOW = 5000.0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,7 +4,7 @@
 
 import random
 
-from larklb.weirs.choice import TRY_MS, Choice, Place
+from larklb.admission.choice import TRY_MS, Choice, Place
 
 
 def places(names: range) -> list[Place]:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -7,11 +7,11 @@
 import pytest
 from attrs import evolve
 
+from larklb.admission.choice import Choice
+from larklb.admission.tries import End
 from larklb.lab.emulator import Deployment, Emulator, Make, Trouble, flags, play, shop
 from larklb.lab.emulator_rivals import RIVALS
 from larklb.turbines.choice import AbleChoice
-from larklb.weirs.choice import Choice
-from larklb.weirs.tries import End
 
 SHORT = {"length": 12_000.0, "settling": 2_000.0}
 
--- a/tests/test_sluice.py
+++ b/tests/test_sluice.py
@@ -13,6 +13,9 @@
 import pytest
 from attrs import define, field
 
+from larklb.admission.budget import Budget
+from larklb.admission.choice import Choice, Place
+from larklb.admission.quotas import Verdict
 from larklb.net.http import dial
 from larklb.schema import configuration as schema
 from larklb.schema.configuration import Tenant
@@ -20,9 +23,6 @@
 from larklb.sluice.door import Bounds, Door
 from larklb.sluice.front import Front, in_force
 from larklb.sluice.servers import Servers
-from larklb.weirs.budget import Budget
-from larklb.weirs.choice import Choice, Place
-from larklb.weirs.quotas import Verdict
 from larklb.wheel import Wheel
 
 PATIENCE = 3.0             # s: a test that hangs fails
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -21,6 +21,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 from typer.testing import CliRunner
 
+from larklb.admission.quotas import Allowance
 from larklb.cistern.store import Store
 from larklb.cli import app, system, system_calls
 from larklb.cli.system_calls import Caller, SilentError
@@ -37,7 +38,6 @@
 from larklb.sluice.control import Settled, settled_of
 from larklb.sluice.culvert import Culvert
 from larklb.sluice.main import Limiter
-from larklb.weirs.quotas import Allowance
 from tests.standins import ROOT
 
 KEYS = [key for tenant in CONFIGURATION["tenants"] for key in tenant["keys"]]
--- a/tests/test_turbines.py
+++ b/tests/test_turbines.py
@@ -13,12 +13,12 @@
 from hypothesis import settings as tries
 from hypothesis import strategies as st
 
+from larklb.admission.choice import Place
 from larklb.turbines import estimates as e
 from larklb.turbines.choice import AbleChoice
 from larklb.turbines.errors import UnreadableError
 from larklb.turbines.estimates import Ability, Estimates, judged
 from larklb.turbines.load import Hands, Others, bearable, divided, waiting
-from larklb.weirs.choice import Place
 
 
 class Repeats(Estimates):
