--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -21,8 +21,8 @@
 from xxhash import xxh3_64_intdigest
 
 from larklb.admission.choice import Choice, Place
-from larklb.manifold import ring
-from larklb.manifold.assignment import Assignment, caller_key
+from larklb.assignment import ring
+from larklb.assignment.assignment import Assignment, caller_key
 
 MOVED_MOST = 1.05          # callers moved, against the least possible
 BUSIEST_MOST = 1.25        # load of the busiest server against the mean
--- a/larklb/admission/choice.py
+++ b/larklb/admission/choice.py
@@ -12,8 +12,8 @@
 
 from attrs import define, field
 
-from larklb.manifold.assignment import Assignment, warmed
-from larklb.manifold.callers import Callers
+from larklb.assignment.assignment import Assignment, warmed
+from larklb.assignment.callers import Callers
 
 LOAD_MS = 1_000.0          # a told load fades towards the service's mean with this time constant
 QUEUE = 2.0                # a server with so many times its slots in hand beyond them is full
--- a/larklb/manifold/assignment.py
+++ b/larklb/assignment/assignment.py
@@ -13,8 +13,8 @@
 from attrs import define, field
 from xxhash import xxh3_64_intdigest
 
-from larklb.manifold.errors import WeightError
-from larklb.manifold.ring import Ring
+from larklb.assignment.errors import WeightError
+from larklb.assignment.ring import Ring
 
 NODES = 16                 # virtual nodes for each unit of weight (a slot): 4 slots give a server 64 of them
 NODES_MOST = 8_192         # of one server, whatever its weight
--- a/larklb/manifold/errors.py
+++ b/larklb/assignment/errors.py
@@ -1,9 +1,9 @@
 """What may go wrong in assigning callers."""
 
 
-class ManifoldError(Exception):
+class AssignmentError(Exception):
     """Base of this package's errors."""
 
 
-class WeightError(ManifoldError, ValueError):
+class WeightError(AssignmentError, ValueError):
     """A weight that is no finite number of 0 or more."""
--- a/larklb/sluice/front.py
+++ b/larklb/sluice/front.py
@@ -17,7 +17,7 @@
 from larklb.admission.choice import Choice, Place
 from larklb.admission.quotas import Verdict
 from larklb.admission.tries import Course, End, Next
-from larklb.manifold.assignment import caller_key
+from larklb.assignment.assignment import caller_key
 from larklb.net.http import Link
 from larklb.schema.configuration import Configuration, Route, Tenant
 from larklb.schema.routing import Keys, Routes, service_of, targets
--- a/tests/test_manifold.py
+++ b/tests/test_assignment.py
@@ -11,10 +11,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from larklb.manifold import assignment, ring
-from larklb.manifold.assignment import BACK_MS, HOLD_MS, WARM_MS, WARM_STEPS, Assignment, caller_key, warmed
-from larklb.manifold.callers import GROW_MS, SHRINK_MS, Callers
-from larklb.manifold.errors import WeightError
+from larklb.assignment import assignment, ring
+from larklb.assignment.assignment import BACK_MS, HOLD_MS, WARM_MS, WARM_STEPS, Assignment, caller_key, warmed
+from larklb.assignment.callers import GROW_MS, SHRINK_MS, Callers
+from larklb.assignment.errors import WeightError
 
 CALLERS = [caller_key(f"t{i % 40}", "r", str(i)) for i in range(400)]
 HISTORIES = st.lists(st.tuples(st.integers(0, 7), st.sampled_from([0.0, 0.1, 1.0, 1.1, 2.0, 7.3])),
