--- a/benchmarks/ability.py
+++ b/benchmarks/ability.py
@@ -23,9 +23,9 @@
 from attrs import evolve
 
 from larklb.admission.choice import Choice, Place
+from larklb.balancing.choice import AbleChoice
 from larklb.lab.emulator import Deployment, Figures, Trouble, flags, play, shop
 from larklb.lab.emulator_rivals import RIVALS
-from larklb.turbines.choice import AbleChoice
 
 KEPT = 0.001               # of in-aim by which the new choice may stay behind the best rival, for chance ...
 KEPT_QUICK = 0.004         # ... and on a single seed
--- a/larklb/turbines/choice.py
+++ b/larklb/balancing/choice.py
@@ -13,9 +13,9 @@
 
 from larklb.admission import choice as admission
 from larklb.admission.choice import Choice, Place
+from larklb.balancing.estimates import Ability, Estimates, Sums
+from larklb.balancing.load import TRUST_LEAST, Hands, Others, bearable, waiting
 from larklb.quota.ring import digest
-from larklb.turbines.estimates import Ability, Estimates, Sums
-from larklb.turbines.load import TRUST_LEAST, Hands, Others, bearable, waiting
 
 FRESH_MS = 250.0           # an ability is judged anew after so long, or after news
 NEW_MS = 4_000.0           # a server that is new, warm or back for less is expected to have what others
--- a/larklb/turbines/errors.py
+++ b/larklb/balancing/errors.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 
-class TurbinesError(Exception):
+class BalancingError(Exception):
     """The base of all errors of the package."""
 
 
-class UnreadableError(TurbinesError):
+class UnreadableError(BalancingError):
     """Words of another limiter that make no sense."""
--- a/larklb/turbines/estimates.py
+++ b/larklb/balancing/estimates.py
@@ -14,7 +14,7 @@
 
 from attrs import define, evolve, field
 
-from larklb.turbines.errors import UnreadableError
+from larklb.balancing.errors import UnreadableError
 
 LONG_MS = 20_000.0         # evidence fades with this time constant ...
 SHORT_MS = 2_000.0         # ... and that for sudden changes with this one
--- a/larklb/turbines/load.py
+++ b/larklb/balancing/load.py
@@ -12,7 +12,7 @@
 
 from attrs import define, field
 
-from larklb.turbines.errors import UnreadableError
+from larklb.balancing.errors import UnreadableError
 
 MEAN_MS = 2_000.0          # the mean load of others follows what is told with this time constant
 TRUST_STEP = 0.1           # by which trust in a server's own word follows each answer ...
--- a/larklb/sluice/main.py
+++ b/larklb/sluice/main.py
@@ -21,6 +21,10 @@
 from larklb.admission.budget import Budget
 from larklb.admission.choice import Place
 from larklb.admission.quotas import Allowance, Ask, Bound, Quotas, Verdict
+from larklb.balancing.choice import AbleChoice
+from larklb.balancing.errors import UnreadableError
+from larklb.balancing.estimates import Estimates
+from larklb.balancing.load import Hands
 from larklb.cistern.errors import CisternError
 from larklb.cistern.store import Store
 from larklb.consensus.errors import ConsensusError
@@ -42,10 +46,6 @@
 from larklb.sluice.errors import SettingsError, SluiceError
 from larklb.sluice.front import Front, in_force
 from larklb.sluice.servers import Reply, Servers
-from larklb.turbines.choice import AbleChoice
-from larklb.turbines.errors import UnreadableError
-from larklb.turbines.estimates import Estimates
-from larklb.turbines.load import Hands
 from larklb.wheel import Timer, Wheel
 
 log = logging.getLogger("sluice")
--- a/tests/test_turbines.py
+++ b/tests/test_balancing.py
@@ -14,11 +14,11 @@
 from hypothesis import strategies as st
 
 from larklb.admission.choice import Place
-from larklb.turbines import estimates as e
-from larklb.turbines.choice import AbleChoice
-from larklb.turbines.errors import UnreadableError
-from larklb.turbines.estimates import Ability, Estimates, judged
-from larklb.turbines.load import Hands, Others, bearable, divided, waiting
+from larklb.balancing import estimates as e
+from larklb.balancing.choice import AbleChoice
+from larklb.balancing.errors import UnreadableError
+from larklb.balancing.estimates import Ability, Estimates, judged
+from larklb.balancing.load import Hands, Others, bearable, divided, waiting
 
 
 class Repeats(Estimates):
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -9,9 +9,9 @@
 
 from larklb.admission.choice import Choice
 from larklb.admission.tries import End
+from larklb.balancing.choice import AbleChoice
 from larklb.lab.emulator import Deployment, Emulator, Make, Trouble, flags, play, shop
 from larklb.lab.emulator_rivals import RIVALS
-from larklb.turbines.choice import AbleChoice
 
 SHORT = {"length": 12_000.0, "settling": 2_000.0}
 
