--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -39,7 +39,6 @@
 from benchmarks.load import machine
 from larklb.admission.choice import Choice, Place
 from larklb.admission.quotas import Allowance, Ask, Quotas
-from larklb.cistern.store import Store
 from larklb.consensus.log import encode
 from larklb.consensus.words import Answer, Call
 from larklb.membership.members import Member
@@ -55,6 +54,7 @@
 from larklb.sluice.front import in_force
 from larklb.sluice.main import Limiter
 from larklb.sluice.settings import Settings
+from larklb.storage.store import Store
 from larklb.wheel import Timer, Wheel
 
 PERIOD_MS = 1_500.0        # between a server's beats, as on the operators' sites
--- a/larklb/cli/system_disk.py
+++ b/larklb/cli/system_disk.py
@@ -8,14 +8,14 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from larklb.cistern.errors import CisternError
-from larklb.cistern.store import IDENTITY, Store
 from larklb.cli.system_calls import DONE, OFF, Document, Row, UnusableError, complain, line, table
 from larklb.consensus.errors import ConsensusError
 from larklb.consensus.founding import Ballot
 from larklb.consensus.log import Log, decode
 from larklb.consensus.replica import Replica
 from larklb.consensus.words import Call
+from larklb.storage.errors import StorageError
+from larklb.storage.store import IDENTITY, Store
 
 LOG, BALLOT = "log", "ballot"
 RUNNING = "a limiter runs on it: stop that process first"
@@ -114,7 +114,7 @@
             told = {"folder": str(folder), "generation": generation, "from": now, "to": then, "done": yes}
             if yes:
                 store.save({LOG: value})
-        except (CisternError, ConsensusError) as error:
+        except (StorageError, ConsensusError) as error:
             raise UnusableError(f"{folder}: {error}") from error
     if json:
         line(told)
@@ -176,7 +176,7 @@
             value = store.value(one.key, one.number) if one.whole else None
             rows.append({"key": one.key, "number": one.number, "bytes": one.size, "whole": one.whole,
                          "used": False, "what": _what(one.key, value)})
-    except CisternError as error:
+    except StorageError as error:
         raise UnusableError(f"{folder}: {error}") from error
     newest = {row["key"]: row["number"] for row in rows if row["whole"]}       # they come by number
     for row in rows:
@@ -227,7 +227,7 @@
         value = Store(folder).value(LOG, number)
         if value is not None:
             return Log.read(value)
-    except (CisternError, ConsensusError) as error:
+    except (StorageError, ConsensusError) as error:
         raise UnusableError(f"{folder}: log-{number}: {error}") from error
     there = [str(row["number"]) for row in _rows(folder) if row["key"] == LOG and row["whole"]]
     raise UnusableError(f"{folder}: log-{number}: no whole generation: must be one of "
@@ -239,7 +239,7 @@
     try:
         stored = store.load()
         identity = next((row for row in _rows(folder) if row["key"] == IDENTITY and row["used"]), None)
-    except CisternError as error:
+    except StorageError as error:
         raise UnusableError(f"{folder}: {error}") from error
     replica = _replica(folder, stored or {})
     log = Log.read(stored[LOG]) if stored and LOG in stored else Log()
--- a/larklb/sluice/core.py
+++ b/larklb/sluice/core.py
@@ -8,8 +8,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from larklb.cistern.errors import CisternError
-from larklb.cistern.store import Store
 from larklb.consensus.errors import RefusedError
 from larklb.consensus.replica import Replica
 from larklb.consensus.words import Answer, Call, Ready
@@ -19,6 +17,8 @@
 from larklb.schema.errors import InvalidError, SchemaError
 from larklb.sluice.culvert import Culvert
 from larklb.sluice.settings import Settings
+from larklb.storage.errors import StorageError
+from larklb.storage.store import Store
 
 log = logging.getLogger("core")
 
@@ -138,7 +138,7 @@
         ok = True
         try:
             await asyncio.get_running_loop().run_in_executor(self.pool, self.store.save, ready.save or {})
-        except CisternError as error:
+        except StorageError as error:
             log.warning("core: the disk refused a write: %s.", error)
             ok = False
         except Exception:
--- a/larklb/sluice/main.py
+++ b/larklb/sluice/main.py
@@ -25,8 +25,6 @@
 from larklb.balancing.errors import UnreadableError
 from larklb.balancing.estimates import Estimates
 from larklb.balancing.load import Hands
-from larklb.cistern.errors import CisternError
-from larklb.cistern.store import Store
 from larklb.consensus.errors import ConsensusError
 from larklb.consensus.words import Answer
 from larklb.membership.members import LEAVING, UP, Member, member_of
@@ -46,6 +44,8 @@
 from larklb.sluice.errors import SettingsError, SluiceError
 from larklb.sluice.front import Front, in_force
 from larklb.sluice.servers import Reply, Servers
+from larklb.storage.errors import StorageError
+from larklb.storage.store import Store
 from larklb.wheel import Timer, Wheel
 
 log = logging.getLogger("sluice")
@@ -530,7 +530,7 @@
 async def _serve(settings: told.Settings, stay: bool) -> int:
     try:
         limiter = Limiter(settings, stay)
-    except (CisternError, ConsensusError, SluiceError) as error:
+    except (StorageError, ConsensusError, SluiceError) as error:
         log.error("sluice: %s: can't start with it: %s.", settings.data, error)
         return 2
     await limiter.run()
--- a/larklb/cistern/errors.py
+++ b/larklb/storage/errors.py
@@ -3,5 +3,5 @@
 from __future__ import annotations
 
 
-class CisternError(Exception):
+class StorageError(Exception):
     """The disk couldn't be read or written; what a failed save was to change is as it was before."""
--- a/larklb/cistern/store.py
+++ b/larklb/storage/store.py
@@ -26,7 +26,7 @@
 import xxhash
 from attrs import define, field
 
-from larklb.cistern.errors import CisternError
+from larklb.storage.errors import StorageError
 
 log = logging.getLogger(__name__)
 
@@ -53,7 +53,7 @@
     """Values by key (lower case letters) in ``folder``, which is made if need be. All calls block;
     one at a time.
 
-    Every call raises CisternError if the disk doesn't do what it must."""
+    Every call raises StorageError if the disk doesn't do what it must."""
 
     folder: Path
     _whole: dict[str, list[int]] = field(factory=dict, init=False)
@@ -70,7 +70,7 @@
     def save(self, changed: dict[str, bytes]) -> None:
         """Make these values durable: when it returns they are, when it raises the ones before hold."""
         if not all(_KEY.fullmatch(key) for key in changed):
-            raise CisternError("a key has other than lower case letters")
+            raise StorageError("a key has other than lower case letters")
         numbers: dict[str, int] = {}
         with _translated("write"):
             if not self._known:
@@ -124,7 +124,7 @@
             for number in sorted(numbers, reverse=True):
                 value = self._read(key, number)
                 if value is None:
-                    log.warning("cistern: %s-%d is torn, passed over", key, number)
+                    log.warning("storage: %s-%d is torn, passed over", key, number)
                     continue
                 values.setdefault(key, value)
                 whole.setdefault(key, []).insert(0, number)
@@ -199,4 +199,4 @@
     try:
         yield
     except OSError as error:
-        raise CisternError(f"can't {doing}: {error}") from error
+        raise StorageError(f"can't {doing}: {error}") from error
--- a/tests/test_cistern.py
+++ b/tests/test_storage.py
@@ -15,9 +15,9 @@
 
 import pytest
 
-from larklb.cistern import store as module
-from larklb.cistern.errors import CisternError
-from larklb.cistern.store import Store
+from larklb.storage import store as module
+from larklb.storage.errors import StorageError
+from larklb.storage.store import Store
 
 OLD = {"ballot": b"old ballot", "log": b"old log " * 200}
 NEW = {"ballot": b"new ballot", "log": b"new log " * 300}
@@ -53,7 +53,7 @@
     kept = [(part.key, part.number, part.whole) for part in store.dump()]
     assert kept == [("ballot", 1, True), ("identity", 1, True), ("log", 5, True), ("log", 6, True)]
     assert Store(tmp_path / "other").identity() != identity
-    with pytest.raises(CisternError):
+    with pytest.raises(StorageError):
         store.save({"../x": b""})
 
 
@@ -155,7 +155,7 @@
         with monkeypatch.context() as patch:
             patch.setattr(dbm.dumb, "_io", fake)
             patch.setattr(dbm.dumb._Database, "_io", fake)
-            with pytest.raises(CisternError):
+            with pytest.raises(StorageError):
                 store.save(NEW)
         assert store.load() == OLD and Store(store.folder).load() == OLD
         assert all(part.whole for part in store.dump())
@@ -173,12 +173,12 @@
         raise OSError(errno.EIO, "input/output error")
     with monkeypatch.context() as patch:
         patch.setattr(os, "fsync", failing)
-        with pytest.raises(CisternError):
+        with pytest.raises(StorageError):
             store.save(NEW)
     assert Store(tmp_path).load() == OLD
     with monkeypatch.context() as patch:
         patch.setattr(dbm.dumb._Database, "__getitem__", failing)
-        with pytest.raises(CisternError):
+        with pytest.raises(StorageError):
             Store(tmp_path).load()
 
 
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -22,7 +22,6 @@
 from typer.testing import CliRunner
 
 from larklb.admission.quotas import Allowance
-from larklb.cistern.store import Store
 from larklb.cli import app, system, system_calls
 from larklb.cli.system_calls import Caller, SilentError
 from larklb.consensus.replica import Replica
@@ -38,6 +37,7 @@
 from larklb.sluice.control import Settled, settled_of
 from larklb.sluice.culvert import Culvert
 from larklb.sluice.main import Limiter
+from larklb.storage.store import Store
 from tests.standins import ROOT
 
 KEYS = [key for tenant in CONFIGURATION["tenants"] for key in tenant["keys"]]
