--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -42,11 +42,11 @@
 from larklb.consensus.log import encode
 from larklb.consensus.words import Answer, Call
 from larklb.membership.members import Member
-from larklb.outfalls.follower import Follower
-from larklb.outfalls.home import Home
-from larklb.outfalls.registry import DRAINING, Server
 from larklb.quota.ring import digest as ring_digest
 from larklb.quota.ring import ring_owner
+from larklb.registry.registry import DRAINING, Server
+from larklb.registry.replica import RegistryReplica
+from larklb.registry.subscriber import Subscriber
 from larklb.schema import calls
 from larklb.schema import configuration as schema
 from larklb.sluice.core import Core, apply
@@ -164,7 +164,7 @@
         self.random = random.Random(node)
         self.born = fabric.now
         self.culvert = HollowCulvert(fabric, node, node, self.heard)
-        self.follower = Follower(me, [n for n in fabric.seeds if n != node], changed=self._changed)
+        self.follower = Subscriber(me, [n for n in fabric.seeds if n != node], changed=self._changed)
         self.quotas = Quotas(node, fabric.now, 1, settled=True)
         if disk:
             self.core = HollowCore(s, Store.__new__(Store), me, None, fabric.now, 1, self.culvert)
@@ -528,15 +528,15 @@
     line = _ENCODE.encode({"m": [], "v": [[s.id, s.row()] for s in told]})
     me = Member("n0", "n0", "a", 1, "d0", number=0, granted=1)
 
-    def home_of() -> Home:
-        home = Home(me, PERIOD_MS, 0.0)
+    def home_of() -> RegistryReplica:
+        home = RegistryReplica(me, PERIOD_MS, 0.0)
         home.ready = True
         home.rows(0.0, "", _DECODE.decode(line))
         return home
 
-    def tables_of() -> tuple[Follower, list[Word]]:
+    def tables_of() -> tuple[Subscriber, list[Word]]:
         source, words = home_of(), []
-        follower = Follower(evolve(me, node="n1", ip="n1", disk=""), ["n0"])
+        follower = Subscriber(evolve(me, node="n1", ip="n1", disk=""), ["n0"])
         follower.core(0.0, me)
         follower.tick(0.0)
         for _ in range(servers // 300 + 3):
@@ -554,11 +554,11 @@
 
     add("memory of a home", "MB", held(home_of) / 1e6)
     home, (follower, words) = home_of(), tables_of()
-    lean = Follower(evolve(me, node="n1", ip="n1", disk=""), ["n0"])
+    lean = Subscriber(evolve(me, node="n1", ip="n1", disk=""), ["n0"])
 
-    def refill() -> Follower:
+    def refill() -> Subscriber:
         lean.servers = {}
-        fresh = Follower(lean.me, ["n0"])
+        fresh = Subscriber(lean.me, ["n0"])
         fresh.core(0.0, me)
         fresh.tick(0.0)
         for raw in lines:
@@ -595,7 +595,7 @@
         spent(lambda: [_ENCODE.encode(word) for word in chunks(home, lives)]) * 1e3)
 
 
-def chunks(home: Home, lives: Iterator[int]) -> list[Word]:
+def chunks(home: RegistryReplica, lives: Iterator[int]) -> list[Word]:
     """What a new subscriber is sent, piece by piece."""
     member, words, have = Member("n9", "n9", "a", next(lives)).row(), list[Word](), 0
     while have < home.table.rev:
--- a/larklb/balancing/choice.py
+++ b/larklb/balancing/choice.py
@@ -1,6 +1,7 @@
 """The choice of server by expected end of a request, from what each server is seen to handle.
 
-Takes the place of ``larklb.admission.choice.Choice``: the same calls, with the exchange between limiters besides.
+Takes the place of ``larklb.admission.choice.Choice``: the same calls, with the exchange between limiters
+besides.
 """
 
 from __future__ import annotations
--- a/larklb/outfalls/home.py
+++ b/larklb/registry/replica.py
@@ -16,9 +16,9 @@
 from larklb.changefeed.table import Event, Table
 from larklb.membership import members as membership
 from larklb.membership.members import Heard, Member, Members, member_of
-from larklb.outfalls import registry as servers
-from larklb.outfalls.registry import Registry, Server, server_of
 from larklb.quota.ring import digest
+from larklb.registry import registry as servers
+from larklb.registry.registry import Registry, Server, server_of
 
 SYNC_MS = 400.0            # between two words to each other core machine
 AGAIN_MS = 250.0           # what a subscriber has not shown to have is pushed again after so long, ...
@@ -40,7 +40,7 @@
 
 
 @define
-class Subscriber:
+class Subscription:
     """A limiter that has this home, and what it has shown to have."""
 
     ip: str
@@ -64,7 +64,7 @@
 
 
 @define
-class Home:
+class RegistryReplica:
     """Of one life of a core machine."""
 
     me: Member
@@ -73,7 +73,7 @@
     members: Members = field(factory=Members)
     registry: Registry = field(init=False)
     table: Table = field(factory=Table)
-    subscribers: dict[str, Subscriber] = field(factory=dict)
+    subscribers: dict[str, Subscription] = field(factory=dict)
     voters: Mapping[str, str] = field(factory=dict)         # disk ids and nodes, of the group
     ready: bool = False            # its table may be told
     hushed: bool = False           # ... but it is cut off from the others
@@ -140,7 +140,7 @@
             return
         sub = self.subscribers.get(node)
         if sub is None or sub.life != member.life:
-            sub = self.subscribers[node] = Subscriber(ip, member.life, now)
+            sub = self.subscribers[node] = Subscription(ip, member.life, now)
         sub.ip, sub.at = ip, now
         have = int(message["have"]) if message.get("of") == [self.me.node, self.me.life] else 0
         if have < sub.have:                # it begins anew
@@ -158,7 +158,7 @@
             sub.have = max(sub.have, int(message["have"]))
             sub.again = AGAIN_MS
 
-    def _push(self, now: float, sub: Subscriber, member: Member, config: list[Any]) -> None:
+    def _push(self, now: float, sub: Subscription, member: Member, config: list[Any]) -> None:
         events = self.table.since(sub.have)
         start = sub.have
         if events is None:
@@ -178,7 +178,7 @@
                 "you": [member.number, member.granted, member.life]}
 
     @staticmethod
-    def _may_push(now: float, sub: Subscriber) -> bool:
+    def _may_push(now: float, sub: Subscription) -> bool:
         """Whether all that it was told has been taken, or should have been."""
         return sub.have >= sub.pushed or now - sub.pushed_at >= sub.again
 
--- a/larklb/outfalls/follower.py
+++ b/larklb/registry/subscriber.py
@@ -12,8 +12,8 @@
 from attrs import define, evolve, field
 
 from larklb.membership.members import BEAT_MS, UP, Member, member_of, order
-from larklb.outfalls.home import Words
-from larklb.outfalls.registry import GONE, Server, merged, server_of
+from larklb.registry.registry import GONE, Server, merged, server_of
+from larklb.registry.replica import Words
 
 HELLO_MS = 120.0           # between words to the seeds while there is no home, ...
 HELLO_CALM_MS = 2_000.0    # ... and while there is one, from a core machine: others must find it
@@ -33,7 +33,7 @@
 
 
 @define
-class Follower:
+class Subscriber:
     """Of one life of a limiter."""
 
     me: Member
--- a/larklb/sluice/control.py
+++ b/larklb/sluice/control.py
@@ -14,7 +14,7 @@
 from attrs import define
 
 from larklb.net.http import Link
-from larklb.outfalls.registry import DRAINING, STEADY, Server
+from larklb.registry.registry import DRAINING, STEADY, Server
 from larklb.schema import calls
 from larklb.schema.errors import PROBLEMS_KEPT, InvalidError, SchemaError
 from larklb.sluice.servers import Reply
--- a/larklb/sluice/core.py
+++ b/larklb/sluice/core.py
@@ -12,7 +12,7 @@
 from larklb.consensus.replica import Replica
 from larklb.consensus.words import Answer, Call, Ready
 from larklb.membership.members import Member
-from larklb.outfalls.home import Home
+from larklb.registry.replica import RegistryReplica
 from larklb.schema import configuration as schema
 from larklb.schema.errors import InvalidError, SchemaError
 from larklb.sluice.culvert import Culvert
@@ -53,7 +53,7 @@
                  now: float, seed: int, culvert: Culvert) -> None:
         """``me`` has the disk's id, ``stored`` is what its saves left."""
         self.settings, self.store, self.disk, self.culvert = settings, store, me.disk, culvert
-        self.home = Home(me, settings.period, now)
+        self.home = RegistryReplica(me, settings.period, now)
         self.replica = Replica(me.disk, settings.node, stored, now, seed, tolerance=settings.tolerance,
                                apply=apply)
         self.pool = ThreadPoolExecutor(1, "disk")
--- a/larklb/sluice/main.py
+++ b/larklb/sluice/main.py
@@ -28,10 +28,10 @@
 from larklb.consensus.errors import ConsensusError
 from larklb.consensus.words import Answer
 from larklb.membership.members import LEAVING, UP, Member, member_of
-from larklb.outfalls import registry
-from larklb.outfalls.follower import Follower
-from larklb.outfalls.home import Home
-from larklb.outfalls.registry import Server
+from larklb.registry import registry
+from larklb.registry.registry import Server
+from larklb.registry.replica import RegistryReplica
+from larklb.registry.subscriber import Subscriber
 from larklb.schema import configuration as schema
 from larklb.schema.configuration import Tenant
 from larklb.schema.errors import SchemaError
@@ -92,7 +92,7 @@
             stored = store.load()
             me = evolve(me, disk=disk)
             self.core = Core(settings, store, me, stored, now, self.random.randrange(1 << 30), self.culvert)
-        self.follower = Follower(me, [host for host, _ in settings.seeds], changed=self._changed)
+        self.follower = Subscriber(me, [host for host, _ in settings.seeds], changed=self._changed)
         self.choice = AbleChoice(
             settings.zone, settings.zones, self.random.randrange(1 << 30), limit=self._limit,
             estimates=Estimates(life=me.life), hands=Hands(life=me.life))
@@ -275,7 +275,7 @@
         self._flush()
 
     @staticmethod
-    def _meet(home: Home, now: float, rows: list[Any]) -> None:
+    def _meet(home: RegistryReplica, now: float, rows: list[Any]) -> None:
         for node, row in rows:
             member = member_of(str(node), row)
             if member.disk:
--- a/larklb/sluice/status.py
+++ b/larklb/sluice/status.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
-from larklb.outfalls.registry import DRAINING, GONE, STEADY
+from larklb.registry.registry import DRAINING, GONE, STEADY
 from larklb.schema import calls
 from larklb.sluice.errors import SluiceError
 
--- a/tests/test_outfalls.py
+++ b/tests/test_registry.py
@@ -20,11 +20,11 @@
 from larklb.changefeed.table import Table
 from larklb.membership import members as membership
 from larklb.membership.members import LEAVING, UP, Member, Members, member_of
-from larklb.outfalls import follower as follower_module
-from larklb.outfalls import registry
-from larklb.outfalls.follower import Follower
-from larklb.outfalls.home import Home
-from larklb.outfalls.registry import DRAINING, GONE, STEADY, Server, server_of
+from larklb.registry import registry
+from larklb.registry import subscriber as follower_module
+from larklb.registry.registry import DRAINING, GONE, STEADY, Server, server_of
+from larklb.registry.replica import RegistryReplica
+from larklb.registry.subscriber import Subscriber
 
 PERIOD = 1_500.0
 DRAIN = 2_500.0            # an acknowledged drain is known everywhere after it
@@ -56,8 +56,8 @@
     life: int = 0
     born: float = 0.0
     trouble: float = -1e18
-    home: Home | None = None
-    follower: Follower = field(init=False)
+    home: RegistryReplica | None = None
+    follower: Subscriber = field(init=False)
     words: dict[str, float] = field(factory=dict)
     calls: dict[int, Callable[[Word | None], None]] = field(factory=dict)
     called: int = 0
@@ -131,10 +131,10 @@
         node.up, node.born, node.trouble = True, self.now, self.now
         node.life = max(node.life + 1, int(self.now))
         me = Member(name, node.ip, node.zone, node.life, node.disk)
-        node.follower = Follower(me, list(node.seeds))
+        node.follower = Subscriber(me, list(node.seeds))
         node.words, node.calls, node.seen = {}, {}, {}
         if node.disk:
-            node.home = Home(me, PERIOD, self.now)
+            node.home = RegistryReplica(me, PERIOD, self.now)
             node.home.table.most = self.most_events
         life = node.life
         self.at(self.chance.uniform(0, 50), lambda: self._turn(node, life))
@@ -262,7 +262,7 @@
             home.push(now, node.offer)
         self._flush(node)
 
-    def _meet(self, home: Home | None, rows: list[Any]) -> None:
+    def _meet(self, home: RegistryReplica | None, rows: list[Any]) -> None:
         for name, row in rows:
             member = member_of(str(name), row)
             if home is not None and member.disk:
@@ -696,7 +696,7 @@
 
 def test_drain_holds_at_a_home_that_lacks_it() -> None:
     """Also once its table has been seen, when it tells something else of the server."""
-    follower = Follower(Member("a0", "10.0.0.1", "z", 1), [])
+    follower = Subscriber(Member("a0", "10.0.0.1", "z", 1), [])
     for name in ("m0", "m1"):
         follower.core(0.0, Member(name, f"10.0.0.{name[1]}", "z", 1, f"disk-{name}"))
 
@@ -880,7 +880,7 @@
 def test_tables_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(registry, "MOST_SERVERS", 5)
     monkeypatch.setattr(membership, "MOST_MEMBERS", 5)
-    home = Home(Member("m", "10.0.0.1", "z", 1, "d"), PERIOD, 0.0, ready=True)
+    home = RegistryReplica(Member("m", "10.0.0.1", "z", 1, "d"), PERIOD, 0.0, ready=True)
     answers: list[bool] = []
     for i in range(50):
         home.heartbeat(0.0, Server(f"s{i}", "t", "a:1", "z", 1), answers.append)
@@ -965,15 +965,15 @@
     return max(one, other, key=lambda s: s.sequence)
 
 
-def _promised(self: Home, number: int, pledge: Any) -> None:
+def _promised(self: RegistryReplica, number: int, pledge: Any) -> None:
     del self.pledges[number]
     pledge.done(True)
 
 
-_delta = Follower.delta
+_delta = Subscriber.delta
 
 
-def _any_revision(self: Follower, now: float, message: Any) -> None:
+def _any_revision(self: Subscriber, now: float, message: Any) -> None:
     if "from" in message and message["from"] and message["l"] == self.life:
         self.have = int(message["from"])
     _delta(self, now, message)
@@ -997,11 +997,11 @@
     return without
 
 
-def _digests_alike(self: Home) -> list[str]:
+def _digests_alike(self: RegistryReplica) -> list[str]:
     return [""] * 16
 
 
-def _forgets_at_once(self: Follower, now: float) -> None:
+def _forgets_at_once(self: Subscriber, now: float) -> None:
     self.servers, self.members = self.fresh, self.fresh_members
     self.fresh, self.fresh_members = {}, {}
     self.whole = self.ever = True
@@ -1010,15 +1010,15 @@
 FAULTS: dict[str, tuple[Any, str, Any, Callable[[], object]]] = {
     "sequence ignored": (registry, "merged", _first_wins, lambda: late_beats(3)),
     "drain not sticky": (registry, "merged", _by_sequence, lambda: late_beats(3)),
-    "acknowledged before a majority knows": (Home, "_settle", _promised,
+    "acknowledged before a majority knows": (RegistryReplica, "_settle", _promised,
                                              lambda: acknowledged_and_killed(1, False)),
-    "delta from a wrong revision": (Follower, "delta", _any_revision, repeated_deltas),
+    "delta from a wrong revision": (Subscriber, "delta", _any_revision, repeated_deltas),
     "removal lost": (Table, "since", _no_floor, test_journal_tells_each_what_it_lacks),
     "numbers alike": (Members, "number", _numbers_alike, test_ring_numbers_outlast_a_restart),
     "merge by order": (registry, "merged", _first_wins, records),
     "members merged by order": (membership, "merged", _first_wins, records),
-    "digests alike": (Home, "_digests", _digests_alike, test_digests_mend_a_lost_row),
-    "new home believed at once": (Follower, "_seen_whole", _forgets_at_once,
+    "digests alike": (RegistryReplica, "_digests", _digests_alike, test_digests_mend_a_lost_row),
+    "new home believed at once": (Subscriber, "_seen_whole", _forgets_at_once,
                                   test_turning_to_an_empty_home_loses_no_server_at_once),
 }
 
@@ -1036,7 +1036,7 @@
 def test_all_renewals_are_told_however_many() -> None:
     """Past the size of one word the rest must follow in others, or servers that beat are taken for silent."""
     me = Member("a", "10.0.0.1", "z", 1, disk="d-a")
-    home = Home(me, PERIOD, 0.0)
+    home = RegistryReplica(me, PERIOD, 0.0)
     home.told_of(0.0, Member("b", "10.0.0.2", "z", 1, disk="d-b"), True)
     names = {f"i-{n}" for n in range(5_000)}
     for name in names:
--- a/tests/test_registry_machine.py
+++ b/tests/test_registry_machine.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from larklb.membership.members import LEAVING, UP, Member, Members
-from larklb.outfalls.registry import DRAINING, GONE, STEADY, Registry, Server
+from larklb.registry.registry import DRAINING, GONE, STEADY, Registry, Server
 
 CORES = st.integers(0, 2)
 IDS = st.sampled_from(("i-1", "i-2", "i-3"))
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -29,7 +29,7 @@
 from larklb.lab import system as lab
 from larklb.lab.system import CHANGE, CONFIGURATION, Net, settings
 from larklb.membership.members import Member
-from larklb.outfalls.registry import Server
+from larklb.registry.registry import Server
 from larklb.schema import calls, configuration
 from larklb.schema.errors import InvalidError
 from larklb.sluice import settings as told
