--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -41,6 +41,11 @@
 from larklb.admission.quotas import Allowance, Ask, Quotas
 from larklb.consensus.log import encode
 from larklb.consensus.words import Answer, Call
+from larklb.gateway.core import Core, apply
+from larklb.gateway.front import in_force
+from larklb.gateway.main import Limiter
+from larklb.gateway.settings import Settings
+from larklb.gateway.transport import Transport, Word
 from larklb.membership.members import Member
 from larklb.quota.ring import digest as ring_digest
 from larklb.quota.ring import ring_owner
@@ -49,11 +54,6 @@
 from larklb.registry.subscriber import Subscriber
 from larklb.schema import calls
 from larklb.schema import configuration as schema
-from larklb.sluice.core import Core, apply
-from larklb.sluice.culvert import Culvert, Word
-from larklb.sluice.front import in_force
-from larklb.sluice.main import Limiter
-from larklb.sluice.settings import Settings
 from larklb.storage.store import Store
 from larklb.wheel import Timer, Wheel
 
@@ -117,7 +117,7 @@
             timer.act(*timer.args)
 
 
-class HollowCulvert(Culvert):
+class HollowTransport(Transport):
     """Words over the fabric."""
 
     def __init__(self, fabric: Fabric, node: str, ip: str, heard: Callable[[Word], object]) -> None:
@@ -163,7 +163,7 @@
         self.wheel = HollowWheel(fabric, lambda: fabric.of.get(node) is self)
         self.random = random.Random(node)
         self.born = fabric.now
-        self.culvert = HollowCulvert(fabric, node, node, self.heard)
+        self.culvert = HollowTransport(fabric, node, node, self.heard)
         self.follower = Subscriber(me, [n for n in fabric.seeds if n != node], changed=self._changed)
         self.quotas = Quotas(node, fabric.now, 1, settled=True)
         if disk:
--- a/larklb/cli/system_config.py
+++ b/larklb/cli/system_config.py
@@ -21,11 +21,11 @@
     table,
     told_problems,
 )
+from larklb.gateway import settings as told
+from larklb.gateway.errors import SettingsError
 from larklb.schema import calls
 from larklb.schema import configuration as schema
 from larklb.schema.errors import InvalidError
-from larklb.sluice import settings as told
-from larklb.sluice.errors import SettingsError
 
 LEAST_DESCRIPTORS = 264    # 200 that are no sockets, and 64 that are
 
--- a/larklb/sluice/__main__.py
+++ b/larklb/gateway/__main__.py
@@ -1,9 +1,9 @@
-"""``python -m larklb.sluice``: one limiter of the system."""
+"""``python -m larklb.gateway``: one limiter of the system."""
 
 import os
 import sys
 
-from larklb.sluice.main import main
+from larklb.gateway.main import main
 
 if __name__ == "__main__":
     status = main()
--- a/larklb/sluice/control.py
+++ b/larklb/gateway/control.py
@@ -13,11 +13,11 @@
 import msgspec
 from attrs import define
 
+from larklb.gateway.servers import Reply
 from larklb.net.http import Link
 from larklb.registry.registry import DRAINING, STEADY, Server
 from larklb.schema import calls
 from larklb.schema.errors import PROBLEMS_KEPT, InvalidError, SchemaError
-from larklb.sluice.servers import Reply
 
 JSON = (b"Content-Type", b"application/json")
 MOST_FIELDS = 8            # of a query
--- a/larklb/sluice/core.py
+++ b/larklb/gateway/core.py
@@ -11,12 +11,12 @@
 from larklb.consensus.errors import RefusedError
 from larklb.consensus.replica import Replica
 from larklb.consensus.words import Answer, Call, Ready
+from larklb.gateway.settings import Settings
+from larklb.gateway.transport import Transport
 from larklb.membership.members import Member
 from larklb.registry.replica import RegistryReplica
 from larklb.schema import configuration as schema
 from larklb.schema.errors import InvalidError, SchemaError
-from larklb.sluice.culvert import Culvert
-from larklb.sluice.settings import Settings
 from larklb.storage.errors import StorageError
 from larklb.storage.store import Store
 
@@ -50,7 +50,7 @@
     """The home and the replica of one life of a core machine."""
 
     def __init__(self, settings: Settings, store: Store, me: Member, stored: dict[str, bytes] | None,
-                 now: float, seed: int, culvert: Culvert) -> None:
+                 now: float, seed: int, culvert: Transport) -> None:
         """``me`` has the disk's id, ``stored`` is what its saves left."""
         self.settings, self.store, self.disk, self.culvert = settings, store, me.disk, culvert
         self.home = RegistryReplica(me, settings.period, now)
--- a/larklb/sluice/errors.py
+++ b/larklb/gateway/errors.py
@@ -1,13 +1,13 @@
 """Errors of the process."""
 
 
-class SluiceError(Exception):
+class GatewayError(Exception):
     """Of this layer."""
 
 
-class SettingsError(SluiceError):
+class SettingsError(GatewayError):
     """The settings file can't be used; the text says file, field, value and what would do."""
 
 
-class AddressError(SluiceError):
+class AddressError(GatewayError):
     """An address can't be listened on."""
--- a/larklb/sluice/front.py
+++ b/larklb/gateway/front.py
@@ -18,10 +18,10 @@
 from larklb.admission.quotas import Verdict
 from larklb.admission.tries import Course, End, Next
 from larklb.assignment.assignment import caller_key
+from larklb.gateway.servers import LEAST_MS, Message, Reply, Servers, passed_on
 from larklb.net.http import Link
 from larklb.schema.configuration import Configuration, Route, Tenant
 from larklb.schema.routing import Keys, Routes, service_of, targets
-from larklb.sluice.servers import LEAST_MS, Message, Reply, Servers, passed_on
 from larklb.wheel import Wheel
 
 MARGIN_MS = 12.0           # of the client's time that is left for the answer's way back
--- a/larklb/sluice/door.py
+++ b/larklb/gateway/listener.py
@@ -14,9 +14,9 @@
 import h11
 from attrs import define
 
+from larklb.gateway.errors import AddressError
+from larklb.gateway.servers import Reply
 from larklb.net.http import LateError, Link, TooLongError, WatchedReader
-from larklb.sluice.errors import AddressError
-from larklb.sluice.servers import Reply
 from larklb.wheel import Wheel
 
 log = logging.getLogger("door")
@@ -40,7 +40,7 @@
     idle_ms: float = 30_000.0
 
 
-class Door:
+class Listener:
     """One listening address."""
 
     def __init__(self, wheel: Wheel, answer: Answer, most: int) -> None:
--- a/larklb/sluice/main.py
+++ b/larklb/gateway/main.py
@@ -27,6 +27,15 @@
 from larklb.balancing.load import Hands
 from larklb.consensus.errors import ConsensusError
 from larklb.consensus.words import Answer
+from larklb.gateway import settings as told
+from larklb.gateway import status
+from larklb.gateway.control import AWAY, Control, Settled, settled_of
+from larklb.gateway.core import Core
+from larklb.gateway.errors import GatewayError, SettingsError
+from larklb.gateway.front import Front, in_force
+from larklb.gateway.listener import Bounds, Listener
+from larklb.gateway.servers import Reply, Servers
+from larklb.gateway.transport import Transport, Word
 from larklb.membership.members import LEAVING, UP, Member, member_of
 from larklb.registry import registry
 from larklb.registry.registry import Server
@@ -35,20 +44,11 @@
 from larklb.schema import configuration as schema
 from larklb.schema.configuration import Tenant
 from larklb.schema.errors import SchemaError
-from larklb.sluice import settings as told
-from larklb.sluice import status
-from larklb.sluice.control import AWAY, Control, Settled, settled_of
-from larklb.sluice.core import Core
-from larklb.sluice.culvert import Culvert, Word
-from larklb.sluice.door import Bounds, Door
-from larklb.sluice.errors import SettingsError, SluiceError
-from larklb.sluice.front import Front, in_force
-from larklb.sluice.servers import Reply, Servers
 from larklb.storage.errors import StorageError
 from larklb.storage.store import Store
 from larklb.wheel import Timer, Wheel
 
-log = logging.getLogger("sluice")
+log = logging.getLogger("gateway")
 
 TICK_MS = 4.0              # of the wheel
 CORE_TURN_MS = 50.0        # between two turns of a core machine's duties ...
@@ -82,7 +82,7 @@
         now = self.wheel.now()
         self.born = now
         self.count: Counter[str] = Counter()
-        self.culvert = Culvert(settings.node, settings.ip, settings.port, self.heard)
+        self.culvert = Transport(settings.node, settings.ip, settings.port, self.heard)
         me = Member(settings.node, settings.ip, settings.zone, int(time.time() * 1000.0))
         self.core: Core | None = None
         if settings.data and settings.control is not None:
@@ -108,9 +108,9 @@
         self.front = Front(self.wheel, self.servers, self.choice, self.budget, self._quota, self.random,
                            self.count, stay=stay)
         control = Control(self._server_call, self._operator_call, partial(status.document, self))
-        self.edge = Door(self.wheel, self.front.answer, int(sockets * FRONT_PART))
-        self.control = Door(self.wheel, control.answer, int(sockets * CONTROL_PART))
-        self.readiness = Door(self.wheel, self._ready, 16)
+        self.edge = Listener(self.wheel, self.front.answer, int(sockets * FRONT_PART))
+        self.control = Listener(self.wheel, control.answer, int(sockets * CONTROL_PART))
+        self.readiness = Listener(self.wheel, self._ready, 16)
         self.saturation: dict[str, int] = {}
         self.by_number: dict[int, str] = {}
         self.verdicts: dict[int, tuple[asyncio.Future[Verdict], Timer]] = {}
@@ -132,7 +132,7 @@
         for door, address in ((self.readiness, s.readiness), (self.control, s.control), (self.edge, s.edge)):
             if address is not None:
                 await door.start(*address)
-        log.info("sluice: %s listens.", s.node)
+        log.info("gateway: %s listens.", s.node)
         self._turn()
         self._hands()
         await self.leaving.wait()
@@ -209,11 +209,11 @@
         try:
             fresh = told.read(self.settings.path)
         except SettingsError as error:
-            log.error("sluice: %s.", error)
+            log.error("gateway: %s.", error)
             return
         self.follower.seeds = [host for host, _ in fresh.seeds]
         self.settings = evolve(self.settings, seeds=fresh.seeds)
-        log.info("sluice: settings read anew.")
+        log.info("gateway: settings read anew.")
 
     # Words of other limiters --------------------------------------------------------------
 
@@ -300,7 +300,7 @@
         try:
             checked = schema.check(document, self.version)
         except SchemaError as error:
-            log.error("sluice: a configuration can't be used: %s.", error)
+            log.error("gateway: a configuration can't be used: %s.", error)
             return
         self.front.now = in_force(checked)
         limits = checked.limits
@@ -308,7 +308,7 @@
         self.saturation = {service.name: service.saturation for service in checked.services}
         self.quotas.allowances(self.wheel.now(), checked.version, {
             t.name: Allowance(t.name, t.rate_per_s, t.burst) for t in checked.tenants or ()})
-        log.info("sluice: version %d is in force.", checked.version)
+        log.info("gateway: version %d is in force.", checked.version)
 
     # Limiters and servers -----------------------------------------------------------------
 
@@ -489,7 +489,7 @@
 
     async def _leave(self) -> None:
         """In order: told to all, no longer ready, all that was taken is finished, within the grace."""
-        log.info("sluice: leaves.")
+        log.info("gateway: leaves.")
         now, grace = self.wheel.now(), self.settings.bounds.grace
         self.follower.me = evolve(self.follower.me, state=LEAVING)
         self.follower.beat(now)
@@ -508,7 +508,7 @@
         await self.culvert.stop()
         if self.core is not None:
             self.core.close()
-        log.info("sluice: has ended; %s.", ", ".join(f"{k} {v}" for k, v in sorted(self.count.items())))
+        log.info("gateway: has ended; %s.", ", ".join(f"{k} {v}" for k, v in sorted(self.count.items())))
 
 
 def main() -> int:
@@ -517,11 +517,11 @@
     try:
         settings = told.read(os.environ.get("LARKLB_SETTINGS", "/etc/larklb/settings.toml"))
     except SettingsError as error:
-        log.error("sluice: %s.", error)
+        log.error("gateway: %s.", error)
         return 2
     stay = sys.argv[1:] == ["--affinity", "caller"]
     if not stay and sys.argv[1:] not in ([], ["--affinity", "none"]):
-        log.error("sluice: %s: only --affinity none or --affinity caller.", " ".join(sys.argv[1:]))
+        log.error("gateway: %s: only --affinity none or --affinity caller.", " ".join(sys.argv[1:]))
         return 2
     gc.set_threshold(20_000, 20, 50)         # most of what a request makes is freed by its count alone
     return asyncio.run(_serve(settings, stay))
@@ -530,8 +530,8 @@
 async def _serve(settings: told.Settings, stay: bool) -> int:
     try:
         limiter = Limiter(settings, stay)
-    except (StorageError, ConsensusError, SluiceError) as error:
-        log.error("sluice: %s: can't start with it: %s.", settings.data, error)
+    except (StorageError, ConsensusError, GatewayError) as error:
+        log.error("gateway: %s: can't start with it: %s.", settings.data, error)
         return 2
     await limiter.run()
     return 0
--- a/larklb/sluice/settings.py
+++ b/larklb/gateway/settings.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from larklb.sluice.errors import SettingsError
+from larklb.gateway.errors import SettingsError
 
 Address = tuple[str, int]
 
--- a/larklb/sluice/status.py
+++ b/larklb/gateway/status.py
@@ -9,12 +9,12 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, Any
 
+from larklb.gateway.errors import GatewayError
 from larklb.registry.registry import DRAINING, GONE, STEADY
 from larklb.schema import calls
-from larklb.sluice.errors import SluiceError
 
 if TYPE_CHECKING:
-    from larklb.sluice.main import Limiter
+    from larklb.gateway.main import Limiter
 
 log = logging.getLogger("status")
 
@@ -27,7 +27,7 @@
 def hold(folder: str) -> None:
     """Marks a disk's folder as in use until this process has ended, however it ends; nothing is written.
 
-    SluiceError where a tool changes the folder, and goes on for longer than a look lasts. A file system that
+    GatewayError where a tool changes the folder, and goes on for longer than a look lasts. A file system that
     knows no such mark is said in one line."""
     try:
         mark = os.open(folder, os.O_RDONLY)
@@ -37,7 +37,7 @@
                 return
             except BlockingIOError as error:
                 if not left:
-                    raise SluiceError(f"{folder}: a tool is at work on it: start it later") from error
+                    raise GatewayError(f"{folder}: a tool is at work on it: start it later") from error
                 time.sleep(LOOK_S)
     except OSError as error:
         log.warning("status: %s can't be marked as in use: %s.", folder, error)
--- a/larklb/sluice/culvert.py
+++ b/larklb/gateway/transport.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from larklb.sluice.errors import AddressError
+from larklb.gateway.errors import AddressError
 
 log = logging.getLogger("culvert")
 
@@ -44,7 +44,7 @@
         """A dead port answered: whoever is there will tell when it is back."""
 
 
-class Culvert:
+class Transport:
     """All words of one limiter, to the others and from them."""
 
     def __init__(self, node: str, ip: str, port: int, heard: Heard) -> None:
--- a/larklb/lab/emulator.py
+++ b/larklb/lab/emulator.py
@@ -21,8 +21,8 @@
 from larklb.admission.budget import Budget
 from larklb.admission.choice import Choice, Place
 from larklb.admission.tries import Course, End, Next
-from larklb.sluice.front import AGAIN_MOST_MS, AGAIN_MS, HEDGE_AIM, HEDGE_LAST, HEDGE_LATE, MARGIN_MS
-from larklb.sluice.servers import DIAL_NEAR_MS, IDLE_MS, LEAST_MS
+from larklb.gateway.front import AGAIN_MOST_MS, AGAIN_MS, HEDGE_AIM, HEDGE_LAST, HEDGE_LATE, MARGIN_MS
+from larklb.gateway.servers import DIAL_NEAR_MS, IDLE_MS, LEAST_MS
 
 CLIENT_TRIES = 3           # of a client's request, the first among them
 NOTICED_MS = 2_600.0       # from a server's silence until limiters are told that its heartbeats have ceased
--- a/larklb/lab/system.py
+++ b/larklb/lab/system.py
@@ -468,7 +468,7 @@
         file.write_text(settings(self.net, i, self.folder, first))
         with (self.folder / f"limiter-{i}.log").open("ab") as log:
             self.processes[i] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "larklb.sluice", env={**_environment(), "LARKLB_SETTINGS": str(file)},
+                sys.executable, "-m", "larklb.gateway", env={**_environment(), "LARKLB_SETTINGS": str(file)},
                 stdout=log, stderr=log)
 
     async def until(self, what: str, within: float, true: Callable[[], Awaitable[bool]]) -> bool:
--- a/tests/test_sluice.py
+++ b/tests/test_gateway_process.py
@@ -16,13 +16,13 @@
 from larklb.admission.budget import Budget
 from larklb.admission.choice import Choice, Place
 from larklb.admission.quotas import Verdict
+from larklb.gateway import servers as servers_module
+from larklb.gateway.front import Front, in_force
+from larklb.gateway.listener import Bounds, Listener
+from larklb.gateway.servers import Servers
 from larklb.net.http import dial
 from larklb.schema import configuration as schema
 from larklb.schema.configuration import Tenant
-from larklb.sluice import servers as servers_module
-from larklb.sluice.door import Bounds, Door
-from larklb.sluice.front import Front, in_force
-from larklb.sluice.servers import Servers
 from larklb.wheel import Wheel
 
 PATIENCE = 3.0             # s: a test that hangs fails
@@ -147,7 +147,7 @@
     choice: Choice = field(init=False)
     servers: Servers = field(init=False)
     front: Front = field(init=False)
-    door: Door = field(init=False)
+    door: Listener = field(init=False)
 
     async def start(self) -> None:
         self.wheel, self.choice = Wheel(1.0), Choice("z", {"z": "r"}, 1)
@@ -159,7 +159,7 @@
             return self.verdict
         self.front = Front(self.wheel, self.servers, self.choice, budget, quota, random.Random(1), count)
         self.front.now = in_force(schema.check(document(self.tenants), 0))
-        self.door = Door(self.wheel, self.front.answer, 20)
+        self.door = Listener(self.wheel, self.front.answer, 20)
         await self.door.start("127.0.0.1", 0)
         assert self.door.server is not None
         self.port = self.door.server.sockets[0].getsockname()[1]
--- a/tests/test_settings_system.py
+++ b/tests/test_settings_system.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from larklb.sluice.errors import SettingsError, SluiceError
-from larklb.sluice.settings import read
+from larklb.gateway.errors import GatewayError, SettingsError
+from larklb.gateway.settings import read
 
 WHOLE = """
 [self]
@@ -84,7 +84,7 @@
 
 
 def test_file_that_cannot_be_read(tmp_path: Path) -> None:
-    with pytest.raises(SluiceError, match="none.toml"):
+    with pytest.raises(GatewayError, match="none.toml"):
         read(str(tmp_path / "none.toml"))
     path = tmp_path / "raw.toml"
     path.write_bytes(b"\xff\xfe")
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -26,17 +26,17 @@
 from larklb.cli.system_calls import Caller, SilentError
 from larklb.consensus.replica import Replica
 from larklb.consensus.words import Call
+from larklb.gateway import settings as told
+from larklb.gateway import status
+from larklb.gateway.control import Settled, settled_of
+from larklb.gateway.main import Limiter
+from larklb.gateway.transport import Transport
 from larklb.lab import system as lab
 from larklb.lab.system import CHANGE, CONFIGURATION, Net, settings
 from larklb.membership.members import Member
 from larklb.registry.registry import Server
 from larklb.schema import calls, configuration
 from larklb.schema.errors import InvalidError
-from larklb.sluice import settings as told
-from larklb.sluice import status
-from larklb.sluice.control import Settled, settled_of
-from larklb.sluice.culvert import Culvert
-from larklb.sluice.main import Limiter
 from larklb.storage.store import Store
 from tests.standins import ROOT
 
@@ -418,7 +418,7 @@
 
 def test_words_after_the_end_go_nowhere() -> None:
     async def posted() -> int:
-        culvert = Culvert("n", "127.0.0.1", 0, lambda word: None)
+        culvert = Transport("n", "127.0.0.1", 0, lambda word: None)
         await culvert.start()
         await culvert.stop()
         await asyncio.sleep(0)             # the transport is closed in the loop's next turn
@@ -500,10 +500,10 @@
     assert system.main(["disk", "check", str(folder)]) == 2
     file = put(tmp_path, "s.toml", settings(Net("127.1.2", 18000), 0, tmp_path, True).replace(
         f"{tmp_path}/disk-0", str(folder)))
-    ended = subprocess.run([sys.executable, "-m", "larklb.sluice"], cwd=ROOT, capture_output=True, text=True,
+    ended = subprocess.run([sys.executable, "-m", "larklb.gateway"], cwd=ROOT, capture_output=True, text=True,
                            env={**os.environ, "LARKLB_SETTINGS": file}, timeout=30)
     assert ended.returncode == 2 and "Traceback" not in ended.stderr
-    assert f"sluice: {folder}: can't start with it: entries is no list." in ended.stderr
+    assert f"gateway: {folder}: can't start with it: entries is no list." in ended.stderr
     whole = min(g.number for g in store.dump() if g.key == "log" and g.whole)
     assert system.main(["disk", "restore", str(folder), str(whole), "--yes"]) == 0
     assert system.main(["disk", "check", str(folder)]) == 0
@@ -527,7 +527,7 @@
 
 
 def test_the_serving_process_pays_nothing_for_the_commands() -> None:
-    code = ("import larklb.sluice.main, sys; "
+    code = ("import larklb.gateway.main, sys; "
             "print({'defopt', 'docutils', 'typer', 'click', 'larklb.cli', 'prometheus_client'} "
             "& set(sys.modules))")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
