--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -163,11 +163,11 @@
         self.wheel = HollowWheel(fabric, lambda: fabric.of.get(node) is self)
         self.random = random.Random(node)
         self.born = fabric.now
-        self.culvert = HollowTransport(fabric, node, node, self.heard)
+        self.transport = HollowTransport(fabric, node, node, self.heard)
         self.follower = Subscriber(me, [n for n in fabric.seeds if n != node], changed=self._changed)
         self.quotas = Quotas(node, fabric.now, 1, settled=True)
         if disk:
-            self.core = HollowCore(s, Store.__new__(Store), me, None, fabric.now, 1, self.culvert)
+            self.core = HollowCore(s, Store.__new__(Store), me, None, fabric.now, 1, self.transport)
             self.core.fabric = fabric
 
     def turn(self) -> None:
--- a/larklb/gateway/core.py
+++ b/larklb/gateway/core.py
@@ -50,9 +50,9 @@
     """The home and the replica of one life of a core machine."""
 
     def __init__(self, settings: Settings, store: Store, me: Member, stored: dict[str, bytes] | None,
-                 now: float, seed: int, culvert: Transport) -> None:
+                 now: float, seed: int, transport: Transport) -> None:
         """``me`` has the disk's id, ``stored`` is what its saves left."""
-        self.settings, self.store, self.disk, self.culvert = settings, store, me.disk, culvert
+        self.settings, self.store, self.disk, self.transport = settings, store, me.disk, transport
         self.home = RegistryReplica(me, settings.period, now)
         self.replica = Replica(me.disk, settings.node, stored, now, seed, tolerance=settings.tolerance,
                                apply=apply)
@@ -156,7 +156,7 @@
     def _send(self, ready: Ready) -> None:
         for receiver, message in ready.messages:
             if (ip := self._ip(receiver)) is not None:
-                self.culvert.post(ip, {"k": "raft", "d": self.disk, "m": message})
+                self.transport.post(ip, {"k": "raft", "d": self.disk, "m": message})
         for ticket, answer in ready.answers:
             if (done := self.waiting.pop(ticket, None)) is not None:
                 done(answer)
@@ -188,7 +188,7 @@
         """Sends what the home has to say."""
         out, self.home.out = self.home.out, []
         for ip, word in out:
-            self.culvert.post(ip, word)
+            self.transport.post(ip, word)
 
     def close(self) -> None:
         """No more writes; one that hangs is left to itself."""
--- a/larklb/gateway/listener.py
+++ b/larklb/gateway/listener.py
@@ -19,7 +19,7 @@
 from larklb.net.http import LateError, Link, TooLongError, WatchedReader
 from larklb.wheel import Wheel
 
-log = logging.getLogger("door")
+log = logging.getLogger("listener")
 
 BACKLOG = 512
 SWEEP_MS = 250.0
@@ -116,7 +116,7 @@
         except (OSError, h11.LocalProtocolError):
             pass                       # the caller has gone, or what it does allows no answer
         except Exception:
-            log.exception("door: a connection failed.")
+            log.exception("listener: a connection failed.")
         finally:
             self.links.pop(link, None)
             link.writer.close()
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -82,7 +82,7 @@
         now = self.wheel.now()
         self.born = now
         self.count: Counter[str] = Counter()
-        self.culvert = Transport(settings.node, settings.ip, settings.port, self.heard)
+        self.transport = Transport(settings.node, settings.ip, settings.port, self.heard)
         me = Member(settings.node, settings.ip, settings.zone, int(time.time() * 1000.0))
         self.core: Core | None = None
         if settings.data and settings.control is not None:
@@ -91,7 +91,7 @@
             status.hold(settings.data)           # from here on no tool changes what is loaded
             stored = store.load()
             me = evolve(me, disk=disk)
-            self.core = Core(settings, store, me, stored, now, self.random.randrange(1 << 30), self.culvert)
+            self.core = Core(settings, store, me, stored, now, self.random.randrange(1 << 30), self.transport)
         self.follower = Subscriber(me, [host for host, _ in settings.seeds], changed=self._changed)
         self.choice = AbleChoice(
             settings.zone, settings.zones, self.random.randrange(1 << 30), limit=self._limit,
@@ -128,7 +128,7 @@
         loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
         loop.add_signal_handler(signal.SIGINT, self.leaving.set)
         loop.add_signal_handler(signal.SIGHUP, self._settings_changed)
-        await self.culvert.start()
+        await self.transport.start()
         for door, address in ((self.readiness, s.readiness), (self.control, s.control), (self.edge, s.edge)):
             if address is not None:
                 await door.start(*address)
@@ -148,12 +148,12 @@
         now = self.wheel.now()
         if (hands := self.choice.hand_words(now)) is not None:
             for ip in self.near:
-                self.culvert.post(ip, {"k": "hands", "m": hands})
+                self.transport.post(ip, {"k": "hands", "m": hands})
         if now - self.able_at >= ABLE_MS:
             self.able_at = now
             able = self.choice.words(now)
             for ip in self.near:
-                self.culvert.post(ip, {"k": "able", "m": able})
+                self.transport.post(ip, {"k": "able", "m": able})
 
     @staticmethod
     def _hear_able(take: Callable[[], object]) -> None:
@@ -187,14 +187,14 @@
             self.quotas.clean(now)
             self._assign(now)
             if other := self.follower.another_core(now, self.random.random()):
-                self.culvert.post(other, {"k": "peek"})      # a home that is cut off offers nothing new
+                self.transport.post(other, {"k": "peek"})      # a home that is cut off offers nothing new
             if self._stamp() != self.stamp:
                 self._settings_changed()
 
     def _flush(self) -> None:
         out, self.follower.out = self.follower.out, []
         for ip, word in out:
-            self.culvert.post(ip, word)
+            self.transport.post(ip, word)
 
     def _stamp(self) -> tuple[float, int]:
         try:
@@ -253,7 +253,7 @@
             if kind in ("raft", "rows", "known", "sync", "range"):
                 self.core.word(now, str(word["s"]))
             if kind == "peek":
-                self.culvert.post(ip, {"k": "offer", "cfg": self.core.offer})
+                self.transport.post(ip, {"k": "offer", "cfg": self.core.offer})
             elif kind == "raft":
                 self.core.step(now, str(word["d"]), word["m"])
             elif kind == "beat":
@@ -269,7 +269,7 @@
             elif kind == "range":
                 home.ranges(now, ip, word)
             elif kind == "fetch" and self.core.replica.current is not None:
-                self.culvert.post(ip, {"k": "config", "doc": self.core.replica.current})
+                self.transport.post(ip, {"k": "config", "doc": self.core.replica.current})
             home.push(now, self.core.offer)
             self.core.flush()
         self._flush()
@@ -291,7 +291,7 @@
     def _fetch(self, now: float, ip: str) -> None:
         self.fetched_at = now
         if ip and ip != self.settings.ip:
-            self.culvert.post(ip, {"k": "fetch", "v": self.version})
+            self.transport.post(ip, {"k": "fetch", "v": self.version})
 
     def _take(self, document: dict[str, Any]) -> None:
         """A committed configuration; an older one than that in force is never gone back to."""
@@ -413,7 +413,7 @@
         number = self.called
         waiting: asyncio.Future[Word] = asyncio.get_running_loop().create_future()
         self.calls[number] = waiting
-        self.culvert.post(ip, {"k": "call", "n": number, **word})
+        self.transport.post(ip, {"k": "call", "n": number, **word})
         timer = self.wheel.after(CALL_MS, waiting.cancel)
         try:
             return await waiting
@@ -437,7 +437,7 @@
             settled = await self._server_call(registry.server_of(name, row) if row is not None else str(name))
         else:
             settled = await self._operator_call(body)
-        self.culvert.post(ip, {"k": "answer", "n": number, **settled.word()})
+        self.transport.post(ip, {"k": "answer", "n": number, **settled.word()})
 
     # Quotas -------------------------------------------------------------------------------
 
@@ -454,7 +454,7 @@
 
     def _to_number(self, number: int, word: Word) -> None:
         if (ip := self.by_number.get(number)) is not None:
-            self.culvert.post(ip, word)
+            self.transport.post(ip, word)
 
     def _given_up(self, number: int) -> None:
         self.count["quota.given_up"] += 1
@@ -471,7 +471,7 @@
         sender = self.follower.members.get(str(word["s"]))
         if message["k"] in ("ask", "back", "hello"):
             if (answer := self.quotas.asked(now, sender.number if sender else -1, message)) is not None:
-                self.culvert.post(ip, {"k": "quota", "m": answer})
+                self.transport.post(ip, {"k": "quota", "m": answer})
         elif (told := self.quotas.told(now, message)) is not None:
             self._decided(*told)
 
@@ -505,7 +505,7 @@
         for door in (self.edge, self.control, self.readiness):
             await door.close()
         self.servers.close()
-        await self.culvert.stop()
+        await self.transport.stop()
         if self.core is not None:
             self.core.close()
         log.info("gateway: has ended; %s.", ", ".join(f"{k} {v}" for k, v in sorted(self.count.items())))
--- a/larklb/gateway/status.py
+++ b/larklb/gateway/status.py
@@ -113,7 +113,7 @@
 
 
 def _counts(limiter: Limiter, query: Mapping[str, str]) -> Document:
-    return {"counts": dict(limiter.count), "words": dict(limiter.culvert.counts),
+    return {"counts": dict(limiter.count), "words": dict(limiter.transport.counts),
             "open": {"clients": len(limiter.edge.links), "control": len(limiter.control.links),
                      "servers": limiter.servers.open}}
 
--- a/larklb/gateway/transport.py
+++ b/larklb/gateway/transport.py
@@ -16,7 +16,7 @@
 
 from larklb.gateway.errors import AddressError
 
-log = logging.getLogger("culvert")
+log = logging.getLogger("transport")
 
 SHORT = 1_300              # bytes of a datagram at the most: more would be cut in pieces on the way
 MOST_LINE = 24 * 1024 * 1024
@@ -80,7 +80,7 @@
                 self.transport.sendto(line, (ip, self.port))
             return
         if len(line) > MOST_LINE:
-            log.error("culvert: a word of %d bytes is too long.", len(line))
+            log.error("transport: a word of %d bytes is too long.", len(line))
             return
         lines = self.waiting.setdefault(ip, [])
         lines.append(line)
@@ -146,7 +146,7 @@
             self.heard(word)
         except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
             self.counts["unreadable"] += 1
-            log.warning("culvert: a word %r can't be used: %r.", word.get("k"), error)
+            log.warning("transport: a word %r can't be used: %r.", word.get("k"), error)
 
     async def stop(self) -> None:
         """Ends all links."""
