--- a/larklb/lab/check_headworks.py
+++ b/larklb/lab/check_consensus.py
@@ -17,7 +17,7 @@
 leader has what is acknowledged; what was refused isn't in force; a version never goes back within a life; one
 leader a term; a blank disk never votes.
 
-    python -m larklb.lab.check_headworks [--depth N] [--faults K] [--worlds M] [--start NAME] [--seeded NAME]
+    python -m larklb.lab.check_consensus [--depth N] [--faults K] [--worlds M] [--start NAME] [--seeded NAME]
 
 prints worlds, depth and what held; where something doesn't, the shortest trace, and exits 1.  Full runs, one
 process each, reached whole, with nothing broken: depth 6 with two faults, 3,617,986 worlds (74 s, 873 MB);
@@ -714,7 +714,7 @@
 
 
 def main(arguments: list[str] | None = None) -> int:
-    parser = argparse.ArgumentParser(prog="python -m larklb.lab.check_headworks")
+    parser = argparse.ArgumentParser(prog="python -m larklb.lab.check_consensus")
     parser.add_argument("--depth", type=int, default=DEPTH, help="events from a start")
     parser.add_argument("--faults", type=int, default=FAULTS, help="of them, at the most")
     parser.add_argument("--worlds", type=int, default=WORLDS, help="at which it ends")
--- a/tests/test_check_consensus.py
+++ b/tests/test_check_consensus.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from larklb.lab.check_headworks import (
+from larklb.lab.check_consensus import (
     SEEDED,
     STARTS,
     Explorer,
