--- a/larklb/consensus/replica.py
+++ b/larklb/consensus/replica.py
@@ -576,6 +576,8 @@
         self._pushed = self._now
         for disk, peer in self._peers.items():
             self._push_to(disk, peer)
+        if set(self._log.voters) == {self.disk}:
+            self._confirm(self._round)  # nobody else is there to answer
 
     def _push_to(self, disk: str, peer: Peer) -> None:
         mine = self._log
