--- a/larklb/consensus/replica.py
+++ b/larklb/consensus/replica.py
@@ -250,19 +250,24 @@
         """What is to be done now, or None. While a save is under way there may be answers, nothing else: no
         answer depends on what isn't saved (it tells what a majority has, or that nothing is known)."""
         if self._answers:
-            answers, self._answers = self._answers, []
-            return Ready(answers=answers)
+            return self._take_answers()
         if self._saving_since is not None:
             return None
         if self._failed is not None and self._now - self._failed < RETRY_MS:
             return None
         if self._push and self.is_leader:
             self._broadcast()
+            if self._answers:  # of a group of one
+                return self._take_answers()
         save = self._begin_save() if self._dirty else None
         messages = list(self._outbox)
         self._outbox.clear()
         return Ready(save, messages) if save or messages else None
 
+    def _take_answers(self) -> Ready:
+        answers, self._answers = self._answers, []
+        return Ready(answers=answers)
+
     def saved(self, ok: bool) -> None:
         """The save of the last Ready that had one is durable, or (not ``ok``) has failed."""
         if self._saving_since is None:
