--- a/larklb/consensus/replica.py
+++ b/larklb/consensus/replica.py
@@ -85,6 +85,7 @@
         self._hard_state, self._log = _load(stored or {})
         self._role = "follower"
         self._confirmed = False
+        self._current_at = float("-inf")   # when what is committed here was last as new as at the leader
         self._sticky = float("-inf")  # when the leader was last heard
         self._liveness = Liveness(now)
         self._votes: set[str] = set()
@@ -165,6 +166,13 @@
         this leader sent: what it hands out from memory can be no older than that."""
         return self.settled and now - self._quorum_at <= self._timing.quorum
 
+    def up_to_date(self, now: float) -> bool:
+        """Whether what is known here can be no older than the time after which a leader without a majority steps
+        down: a leader with one, or a follower that has taken a leader's word within it."""
+        if self.is_leader:
+            return self.leads_surely(now)
+        return self.leader is not None and now - self._current_at <= self._timing.quorum
+
     # What the caller does
 
     def tick(self, now: float, cores: dict[str, str], leaving: frozenset[str] = frozenset()) -> None:
@@ -501,7 +509,9 @@
             self._dirty.add("log")
         match = prev + len(entries)
         mine.advance(min(commit, match))
-        self._confirmed = self._confirmed or commit <= match
+        if commit <= match and mine.term_at(commit) == term:
+            # A new leader may know less of what is committed than its log holds, until an entry of its own is.
+            self._confirmed, self._current_at = True, self._now
         self._send(sender, "append_reply", ok=True, match=match, tried=prev, round=round_)
 
     def _on_snapshot(self, sender: str, message: dict[str, Any]) -> None:
--- a/larklb/gateway/core.py
+++ b/larklb/gateway/core.py
@@ -24,7 +24,6 @@
 
 CORES_MS = 1_500.0  # a core machine heard of within this is there, for the group of voters
 FOUND_QUIET_MS = 1_200.0  # the same core machines seen for so long, before a group is founded
-FOUND_ALONE_MS = 6_000.0  # ... and where fewer are there than the tolerance asks for
 
 Post = Callable[[str, dict[str, Any]], object]
 Save = Callable[[Ready], object]
@@ -62,7 +61,9 @@
         """``me`` has the disk's id, ``stored`` is what its saves left."""
         self.settings, self.disk, self.post, self.save = settings, me.disk, post, save
         timing = Timing.of(settings.bounds.contact, settings.bounds.convergence)
-        self.home = RegistryReplica(me, settings.period, now, alone_ms=timing.quorum)
+        self.home = RegistryReplica(
+            me, settings.period, now, alone_ms=timing.quorum, bootstrap=settings.bootstrap
+        )
         self.replica = Replica(
             me.disk,
             settings.node,
@@ -120,7 +121,9 @@
         there = frozenset(cores)
         if there != self.seen[0]:
             self.seen = (there, now)
-        enough = len(there) >= 2 * self.settings.tolerance + 1 or now - self.born > FOUND_ALONE_MS
+        enough = (
+            len(there) >= 2 * self.settings.tolerance + 1 or now - self.born > self.settings.bounds.contact
+        )
         first = min(cores, key=lambda disk: (cores[disk], disk))
         if enough and first == self.disk and now - self.seen[1] >= FOUND_QUIET_MS:
             self.seen = (there, now)
@@ -138,9 +141,9 @@
         self.work(now)
 
     def may_tell(self, now: float) -> bool:
-        """Whether others may be told the configuration that is known here: a leader's word has confirmed it
-        in this life, and a majority of the core was in contact just now."""
-        return self.replica.confirmed and not self.home.fenced(now)
+        """Whether others may be told the configuration that is known here: it follows a leader's word, and a
+        majority of the core has just answered this machine."""
+        return self.replica.up_to_date(now) and not self.home.fenced(now)
 
     # What the replica wants done ----------------------------------------------------------
 
--- a/larklb/lab/check_consensus.py
+++ b/larklb/lab/check_consensus.py
@@ -144,6 +144,7 @@
     "heard": max(TIMING.quorum, LEARNER_MS),
     "_quorum_at": TIMING.quorum,
     "_rounds": TIMING.quorum,
+    "_current_at": TIMING.quorum,
     "due": 0.0,
     "start": SILENT_MS,
     "_since": HEARD_MS,
--- /dev/null
+++ b/larklb/lab/control_breaks.py
@@ -0,0 +1,219 @@
+"""Guards of the control side, each of which can be taken out to see that a simulated day finds it missing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from attrs import define
+
+from larklb.consensus import group, replica
+from larklb.consensus.calls import Calls
+from larklb.consensus.founding import HardState
+from larklb.consensus.history import History, Repeat
+from larklb.consensus.log import Log
+from larklb.consensus.replica import Replica
+from larklb.consensus.words import Call, Ready
+from larklb.gateway.core import Core
+from larklb.gateway.forwarding import Forwarding, Word
+from larklb.registry.replica import RegistryReplica
+
+Change = tuple[Any, str, Any]  # the object, the attribute's name, its value without the guard
+
+
+@define(frozen=True)
+class Break:
+    """``scenario``: in which it must be found; ``cores``: with a core of so many (0: of any)."""
+
+    scenario: str
+    changes: Callable[[], list[Change]]
+    cores: int = 0
+
+
+def _refused_from_memory() -> list[Change]:
+    confirm, judge = Replica._confirm, Replica._judge
+
+    def judged(self: Replica) -> None:
+        judge(self)
+        for waiting in self._calls.verdicts:
+            if waiting.verdict is not None:
+                self._answers.append((waiting.ticket, waiting.verdict))
+        self._calls.verdicts.clear()
+
+    return [(Replica, "_judge", judged), (Replica, "_confirm", confirm)]
+
+
+def _read_from_memory() -> list[Change]:
+    confirmed, call = Calls.confirmed, Replica.call
+
+    def at_once(self: Replica, now: float, ticket: str, what: Call) -> None:
+        call(self, now, ticket, what)
+        if self.settled:
+            self._confirm(0)
+
+    return [
+        (Calls, "confirmed", lambda self, round_: confirmed(self, 1 << 60)),
+        (Replica, "call", at_once),
+    ]
+
+
+def _history_of_few() -> list[Change]:
+    judge = History.judge
+
+    def few(self: History, base: int, identity: str, current: int) -> Repeat:
+        return judge(History(self.taken[-8:], 0), base, identity, current)
+
+    return [(History, "judge", few)]
+
+
+def _group_stays_as_founded() -> list[Change]:
+    return [(group, "wanted_size", lambda known, tolerance: 2)]
+
+
+def _answers_by_number_alone() -> list[Change]:
+    def answered(self: Forwarding, ip: str, word: Word) -> bool:
+        call = self.pending.pop(int(word["n"]), None)
+        if call is None:
+            return False
+        call.done(word)
+        return True
+
+    return [(Forwarding, "answered", answered)]
+
+
+def _sent_before_the_save() -> list[Change]:
+    ready = Replica.ready
+    late: dict[int, Ready] = {}
+
+    def early(self: Replica) -> Ready | None:
+        if id(self) in late:
+            return late.pop(id(self))
+        made = ready(self)
+        if made is not None and made.save:
+            late[id(self)] = Ready(made.save)
+            return Ready(None, made.messages, made.answers)
+        return made
+
+    return [(Replica, "ready", early)]
+
+
+def _votes_forgotten() -> list[Change]:
+    init = Replica.__init__
+
+    def forgetful(self: Replica, *arguments: Any, **named: Any) -> None:
+        init(self, *arguments, **named)
+        kept = self._hard_state
+        self._hard_state = HardState(kept.nonce, self._log.end[0], "", kept.bound, kept.proposer, kept.listed)
+
+    return [(Replica, "__init__", forgetful)]
+
+
+def _older_logs_get_votes() -> list[Change]:
+    request = Replica._on_vote_request
+    pre = Replica._on_pre_vote
+
+    def lenient(handler: Any) -> Any:
+        def handle(self: Replica, sender: str, message: dict[str, Any]) -> None:
+            handler(self, sender, {**message, "last": [1 << 40, 1 << 40]})
+
+        return handle
+
+    return [(Replica, "_on_vote_request", lenient(request)), (Replica, "_on_pre_vote", lenient(pre))]
+
+
+def _blank_disks_vote() -> list[Change]:
+    return [(Replica, "_may_vote", lambda self: True), *_older_logs_get_votes()]
+
+
+def _base_not_compared() -> list[Change]:
+    verdict = Replica._verdict
+
+    def deaf(self: Replica, call: Call) -> Any:
+        known = self._log.state.history.judge(call.base, call.identity, self.version)
+        base = call.base if known is Repeat.TAKEN else self.version
+        return verdict(self, Call(call.kind, base, call.body, call.identity))
+
+    return [(Replica, "_verdict", deaf)]
+
+
+def _repeats_not_known() -> list[Change]:
+    return [(History, "judge", lambda self, base, identity, current: Repeat.REFUSED)]
+
+
+def _told_while_cut_off() -> list[Change]:
+    return [(Core, "may_tell", lambda self, now: self.replica.current is not None)]
+
+
+def _never_fenced() -> list[Change]:
+    return [(RegistryReplica, "fenced", lambda self, now: False), *_told_while_cut_off()]
+
+
+def _drains_known_to_one() -> list[Change]:
+    def alone(self: RegistryReplica, now: float, server: Any, done: Callable[[bool], object]) -> None:
+        done(True)
+
+    return [(RegistryReplica, "_pledge", alone)]
+
+
+def _snapshots_go_back() -> list[Change]:
+    def install(self: Log, snapshot: Any) -> bool:
+        self.base = self.state = snapshot
+        self.entries = []
+        return True
+
+    return [(Log, "install", install)]
+
+
+def _snapshots_not_installed() -> list[Change]:
+    return [(Log, "install", lambda self, snapshot: False)]
+
+
+def _committed_by_fewer() -> list[Change]:
+    return [(replica, "majority", lambda size: max(1, size // 2))]
+
+
+def _no_quorum_for_leading() -> list[Change]:
+    def forever(self: Replica) -> None:
+        self._roster()
+        self._change_group()
+        self._advance()
+        self._push = True
+
+    return [(Replica, "_lead_on", forever)]
+
+
+BREAKS: dict[str, Break] = {
+    "refused-from-memory": Break("cut", _refused_from_memory),
+    "read-from-memory": Break("cut", _read_from_memory),
+    "history-of-few": Break("history", _history_of_few),
+    "group-stays-as-founded": Break("replacement", _group_stays_as_founded, 3),
+    "answers-by-number-alone": Break("answers", _answers_by_number_alone),
+    "sent-before-the-save": Break("replacement", _sent_before_the_save),
+    "votes-forgotten": Break("history", _votes_forgotten, 3),
+    "older-logs-get-votes": Break("cut", _older_logs_get_votes),
+    "blank-disks-vote": Break("replacement", _blank_disks_vote),
+    "base-not-compared": Break("races", _base_not_compared),
+    "repeats-not-known": Break("races", _repeats_not_known),
+    "told-while-cut-off": Break("cut", _told_while_cut_off),
+    "never-fenced": Break("cut", _never_fenced),
+    "drains-known-to-one": Break("cut", _drains_known_to_one),
+    "snapshots-go-back": Break("history", _snapshots_go_back),
+    "snapshots-not-installed": Break("history", _snapshots_not_installed),
+    "committed-by-fewer": Break("replacement", _committed_by_fewer),
+    "leads-without-quorum": Break("cut", _no_quorum_for_leading),
+}
+
+
+@contextmanager
+def without(name: str) -> Iterator[None]:
+    """Takes a guard out for a while."""
+    changes = BREAKS[name].changes()
+    kept = [(owner, attribute, owner.__dict__[attribute]) for owner, attribute, _ in changes]
+    try:
+        for owner, attribute, value in changes:
+            setattr(owner, attribute, value)
+        yield
+    finally:
+        for owner, attribute, value in kept:
+            setattr(owner, attribute, value)
--- /dev/null
+++ b/larklb/lab/control_history.py
@@ -0,0 +1,130 @@
+"""Judges a day of the control side by what its callers were answered alone.
+
+The configuration is a register with compare-and-set: an order on version B writes the next version if B is
+current. Each call has a beginning and, if it was answered clearly, an end. The versions that a last read
+finds, followed by what each built on, give the order of all writes; the history is linearizable if each
+write and each answer has a moment inside its call at which it was true."""
+
+from __future__ import annotations
+
+import math
+
+from attrs import define, field
+
+
+class BrokenError(AssertionError):
+    """Something that must hold doesn't."""
+
+
+@define
+class Order:
+    """A change, sent as often as need be: one call in the history."""
+
+    name: str
+    base: int
+    version: int
+    body: str
+    begin: float
+    acknowledged: float = math.inf  # when the first clear answer came
+    refused: float = math.inf
+
+
+@define(frozen=True)
+class Read:
+    """The version that a read found (0: none), and when it was under way."""
+
+    version: int
+    order: str
+    begin: float
+    end: float
+
+
+@define
+class History:
+    """All calls of a day."""
+
+    orders: dict[str, Order] = field(factory=dict)
+    reads: list[Read] = field(factory=list)
+
+    def acknowledge(self, order: Order, now: float) -> None:
+        """An order was answered with 200."""
+        if order.refused < math.inf:
+            raise BrokenError(f"{order.name} was refused, and is acknowledged")
+        for other in self.orders.values():
+            if other.base == order.base and other is not order and other.acknowledged < math.inf:
+                raise BrokenError(f"{other.name} and {order.name} on version {order.base} are acknowledged")
+        order.acknowledged = min(order.acknowledged, now)
+
+    def refuse(self, order: Order, now: float) -> None:
+        """An order was answered with 412."""
+        if order.acknowledged < math.inf:
+            raise BrokenError(f"{order.name} was acknowledged, and is refused")
+        order.refused = min(order.refused, now)
+
+    def newest_acknowledged(self, before: float = math.inf) -> int:
+        """The newest version that had an acknowledgement before a moment."""
+        return max((o.version for o in self.orders.values() if o.acknowledged < before), default=0)
+
+    def check(self, last: Read) -> None:
+        """Whether the whole history can be true, given what is read at its end."""
+        chain = self._chain(last)
+        on_chain = {order.name for order in chain}
+        for order in self.orders.values():
+            if order.acknowledged < math.inf and order.name not in on_chain:
+                raise BrokenError(f"{order.name} was acknowledged, and is lost")
+            if order.refused < math.inf and order.name in on_chain:
+                raise BrokenError(f"{order.name} was refused, and is in force")
+        place = {order.version: index for index, order in enumerate(chain)}
+        earliest = [order.begin for order in chain]
+        latest = [order.acknowledged for order in chain]
+        for read in [*self.reads, last]:
+            self._bound_by_read(read, chain, place, earliest, latest)
+        for order in self.orders.values():
+            if order.refused < math.inf:
+                self._bound_by_refusal(order, place, latest)
+        at = -math.inf
+        for order, begin, end in zip(chain, earliest, latest, strict=True):
+            at = max(at, begin)
+            if at > end:
+                raise BrokenError(f"no moment at which {order.name} became current fits all answers")
+
+    def _chain(self, last: Read) -> list[Order]:
+        by_version: dict[tuple[int, str], Order] = {(o.version, o.name): o for o in self.orders.values()}
+        chain: list[Order] = []
+        version, name = last.version, last.order
+        while version:
+            order = by_version.get((version, name))
+            if order is None:
+                raise BrokenError(f"version {version} was never sent")
+            chain.append(order)
+            version = order.base
+            if version:
+                below = [o for o in self.orders.values() if o.version == version and o.refused == math.inf]
+                known = [o for o in below if o.acknowledged < math.inf] or below
+                if not known:
+                    raise BrokenError(f"version {version}, which {order.name} builds on, was never taken")
+                name = known[0].name
+        return chain[::-1]
+
+    @staticmethod
+    def _bound_by_read(
+        read: Read, chain: list[Order], place: dict[int, int], earliest: list[float], latest: list[float]
+    ) -> None:
+        index = place.get(read.version, -1)
+        if read.version and (index < 0 or chain[index].name != read.order):
+            raise BrokenError(f"a read found {read.order} as version {read.version}, which was never current")
+        if index >= 0:
+            latest[index] = min(latest[index], read.end)
+        if index + 1 < len(chain):
+            earliest[index + 1] = max(earliest[index + 1], read.begin)
+
+    @staticmethod
+    def _bound_by_refusal(order: Order, place: dict[int, int], latest: list[float]) -> None:
+        index = place.get(order.base, -1 if order.base == 0 else None)
+        if index is None:
+            return  # its base was never current
+        if index + 1 >= len(latest):
+            raise BrokenError(
+                f"{order.name} was refused, and its base {order.base} was current all the while"
+            )
+        latest[index + 1] = min(latest[index + 1], order.refused)
--- a/larklb/registry/replica.py
+++ b/larklb/registry/replica.py
@@ -72,6 +72,7 @@
     period: float  # ms between a server's beats
     born: float
     alone_ms: float = ALONE_MS
+    bootstrap: bool = True  # the whole system starts for the first time: there is no group of voters yet
     members: Members = field(factory=Members)
     registry: Registry = field(init=False)
     table: Table = field(factory=Table)
@@ -201,11 +202,13 @@
 
         An echo counts by the time at which the word that it answers was sent here: what lay in a buffer
         while this machine stood still proves nothing."""
+        if not self.voters:
+            return not self.bootstrap  # a newcomer may have met none but machines that are cut off themselves
         heard = sum(
             disk == self.me.disk or now - self.echoed.get(disk, self.born) <= self.alone_ms
             for disk in self.voters
         )
-        return bool(self.voters) and heard * 2 <= len(self.voters)
+        return heard * 2 <= len(self.voters)
 
     def push(self, now: float, config: list[Any], at_once: bool = False) -> None:
         """Tells each subscriber that lacks something, again after a while; ``at_once``: the configuration is
