--- a/larklb/consensus/replica.py
+++ b/larklb/consensus/replica.py
@@ -85,7 +85,7 @@
         self._hard_state, self._log = _load(stored or {})
         self._role = "follower"
         self._confirmed = False
-        self._current_at = float("-inf")   # when what is committed here was last as new as at the leader
+        self._current_at = float("-inf")  # when what is committed here was last as new as at the leader
         self._sticky = float("-inf")  # when the leader was last heard
         self._liveness = Liveness(now)
         self._votes: set[str] = set()
@@ -109,7 +109,7 @@
         self._inbox: deque[tuple[str, dict[str, Any]]] = deque(maxlen=MOST_INBOX)
         self._outbox: deque[tuple[str, dict[str, Any]]] = deque(maxlen=MOST_OUTBOX)
         self._answers: list[tuple[str, Answer]] = []
-        self._deadline = self._draw()
+        self._deadline = self._first_draw()
 
     # What others see
 
@@ -167,8 +167,8 @@
         return self.settled and now - self._quorum_at <= self._timing.quorum
 
     def up_to_date(self, now: float) -> bool:
-        """Whether what is known here can be no older than the time after which a leader without a majority steps
-        down: a leader with one, or a follower that has taken a leader's word within it."""
+        """Whether what is known here can be no older than the time after which a leader without a majority
+        steps down: a leader with one, or a follower that has taken a leader's word within it."""
         if self.is_leader:
             return self.leads_surely(now)
         return self.leader is not None and now - self._current_at <= self._timing.quorum
@@ -354,6 +354,13 @@
     def _draw(self) -> float:
         return self._now + self._rng.uniform(*self._timing.election)
 
+    def _first_draw(self) -> float:
+        """Before any leader was heard in this life: all may have started together, and a pre-vote does no
+        harm where there is a leader."""
+        if self._sticky > float("-inf"):
+            return self._draw()
+        return self._now + self._rng.uniform(*self._timing.split)
+
     def _enter(self, term: int) -> None:
         if self.is_leader:
             self._step_down("there is a newer term")
@@ -384,7 +391,7 @@
         return voter and (self._hard_state.bound or complete) and self._failed is None and not self._leaving
 
     def _start_pre_vote(self) -> None:
-        self._deadline = self._draw()
+        self._deadline = self._first_draw()
         self._role, self.leader = "follower", None
         if not self._may_stand():
             return
@@ -510,7 +517,7 @@
         match = prev + len(entries)
         mine.advance(min(commit, match))
         if commit <= match and mine.term_at(commit) == term:
-            # A new leader may know less of what is committed than its log holds, until an entry of its own is.
+            # A new leader may know less of what is committed than its log holds, until one entry is its own.
             self._confirmed, self._current_at = True, self._now
         self._send(sender, "append_reply", ok=True, match=match, tried=prev, round=round_)
 
