--- a/larklb/admission/budget.py
+++ b/larklb/admission/budget.py
@@ -24,11 +24,11 @@
 
 from larklb.quota.ring import digest
 
-SLOTS = 40                 # of a window: 5% of the requests of a window lie at its ends and aren't counted
-MARGIN = 0.85              # of the ratio: tries arrive a little later, and closer together, than counted
-SLACK_PART = 0.6           # of the slack, for the same reason and for limiters that come and go
-LIMITERS_KEPT = 12         # windows in which the greatest count of limiters holds: a side cut off sees fewer
-SERVICES = 1024            # counted at once
+SLOTS = 40  # of a window: 5% of the requests of a window lie at its ends and aren't counted
+MARGIN = 0.85  # of the ratio: tries arrive a little later, and closer together, than counted
+SLACK_PART = 0.6  # of the slack, for the same reason and for limiters that come and go
+LIMITERS_KEPT = 12  # windows in which the greatest count of limiters holds: a side cut off sees fewer
+SERVICES = 1024  # counted at once
 
 _HALF = SLOTS // 2
 _KEPT = 2 * SLOTS + 2
@@ -55,8 +55,17 @@
     """Further tries by service; ``ratio`` per request, ``slack`` in tries, ``share`` the limiters that
     divide it; ``node`` tells whose turn it is where there isn't a whole try of slack for each."""
 
-    def __init__(self, ratio: float, window_ms: float, slack: float, share: Callable[[], int] | int,
-                 now: float, *, settled: bool, node: str = "") -> None:
+    def __init__(
+        self,
+        ratio: float,
+        window_ms: float,
+        slack: float,
+        share: Callable[[], int] | int,
+        now: float,
+        *,
+        settled: bool,
+        node: str = "",
+    ) -> None:
         self._ratio, self._window, self._slack, self._node = ratio, window_ms, slack, node
         self._limiters: Callable[[], int] = (lambda: share) if isinstance(share, int) else share
         self._slack_from = now if settled else now + window_ms
@@ -95,7 +104,7 @@
     def _room(self, now: float, counts: _Counts) -> bool:
         sums = [0, *accumulate(counts.firsts)]
         slack, repeats, last = self._part(now), 1, _KEPT
-        for start in range(_KEPT - 1, _KEPT - 2 - SLOTS, -1):        # the slot in which the window begins
+        for start in range(_KEPT - 1, _KEPT - 2 - SLOTS, -1):  # the slot in which the window begins
             repeats += counts.repeats[start]
             cur = sums[min(last, start + SLOTS)] - sums[min(last, start + 1)]
             half = sums[min(last, start + _HALF)] - sums[max(0, start - _HALF + 1)]
@@ -115,5 +124,5 @@
         if part >= 1.0:
             return part
         # Half of the turns, because a sliding window meets two of them.
-        turn = digest(f"{self._node} {now // self._window:.0f}") / 2.0 ** 64
+        turn = digest(f"{self._node} {now // self._window:.0f}") / 2.0**64
         return 1.0 if turn < part / 2.0 else 0.0
--- a/larklb/admission/choice.py
+++ b/larklb/admission/choice.py
@@ -15,23 +15,23 @@
 from larklb.assignment.assignment import Assignment, warmed
 from larklb.assignment.callers import Callers
 
-LOAD_MS = 1_000.0          # a told load fades towards the service's mean with this time constant
-QUEUE = 2.0                # a server with so many times its slots in hand beyond them is full
-NEAR_PART = 0.12           # of the aim that another zone of the region costs: bytes between zones are dear
-                           # ...
-FAR_PART = 0.5             # ... and another region
-BUSY = 0.6                 # of the usual time that a server with all slots in use costs beside its waiting
-COLD = 2.0                 # times slower is a server that has just started
-SPEED_WEIGHT = 0.08        # of one answer in a server's speed
-SPEED_MOST = 6.0           # times the usual is as slow as one answer may look
-OUT_MS = 400.0             # a server that failed rests for so long, twice as long after each more ...
-OUT_MOST_MS = 5_000.0      # ... up to this; then one request tries it
-SILENT_OUT_MS = 1_500.0    # ... and this is the first rest of one that said nothing
-TRY_MS = 1_000.0           # where all are said to be full, one whose word is older is tried
-SPREAD = 0.08              # of the cost, by chance: not all limiters should find the same one the best
-USUAL_MS = 150.0           # of a route before any answer
+LOAD_MS = 1_000.0  # a told load fades towards the service's mean with this time constant
+QUEUE = 2.0  # a server with so many times its slots in hand beyond them is full
+NEAR_PART = 0.12  # of the aim that another zone of the region costs: bytes between zones are dear
+# ...
+FAR_PART = 0.5  # ... and another region
+BUSY = 0.6  # of the usual time that a server with all slots in use costs beside its waiting
+COLD = 2.0  # times slower is a server that has just started
+SPEED_WEIGHT = 0.08  # of one answer in a server's speed
+SPEED_MOST = 6.0  # times the usual is as slow as one answer may look
+OUT_MS = 400.0  # a server that failed rests for so long, twice as long after each more ...
+OUT_MOST_MS = 5_000.0  # ... up to this; then one request tries it
+SILENT_OUT_MS = 1_500.0  # ... and this is the first rest of one that said nothing
+TRY_MS = 1_000.0  # where all are said to be full, one whose word is older is tried
+SPREAD = 0.08  # of the cost, by chance: not all limiters should find the same one the best
+USUAL_MS = 150.0  # of a route before any answer
 USUAL_WEIGHT = 0.05
-LATE_STEP = 0.03           # of the usual, by which the estimate of the slowest twentieth follows each answer
+LATE_STEP = 0.03  # of the usual, by which the estimate of the slowest twentieth follows each answer
 
 
 @define
@@ -43,16 +43,16 @@
     address: str
     zone: str
     slots: int
-    cold: float = -math.inf        # until when
+    cold: float = -math.inf  # until when
     draining: bool = False
-    silent: bool = False           # its heartbeats have ceased
-    out: int = 0                   # requests in hand from here
-    others: float = 0.0            # what others had in hand there ...
-    others_at: float = -math.inf   # ... as of then
-    speed: float = 1.0             # times the usual that it takes
+    silent: bool = False  # its heartbeats have ceased
+    out: int = 0  # requests in hand from here
+    others: float = 0.0  # what others had in hand there ...
+    others_at: float = -math.inf  # ... as of then
+    speed: float = 1.0  # times the usual that it takes
     failures: int = 0
     rests_until: float = -math.inf
-    trial: bool = False            # one request finds out whether it is back
+    trial: bool = False  # one request finds out whether it is back
     answered: float = -math.inf
 
 
@@ -81,11 +81,11 @@
     seed: int
     of: dict[str, Place] = field(factory=dict)
     by_target: dict[str, list[Place]] = field(factory=dict)
-    usual: dict[str, Usual] = field(factory=dict)            # by route
-    mean_others: dict[str, float] = field(factory=dict)      # by target, for each slot
+    usual: dict[str, Usual] = field(factory=dict)  # by route
+    mean_others: dict[str, float] = field(factory=dict)  # by target, for each slot
     random: random.Random = field(init=False)
-    limit: Callable[[str], int] = lambda target: 1 << 30     # requests of this limiter that a server may have
-    assigned: dict[str, Assignment] = field(factory=dict)    # by target, where callers stay put
+    limit: Callable[[str], int] = lambda target: 1 << 30  # requests of this limiter that a server may have
+    assigned: dict[str, Assignment] = field(factory=dict)  # by target, where callers stay put
     callers: Callers = field(factory=Callers)
 
     def __attrs_post_init__(self) -> None:
@@ -118,25 +118,34 @@
         for target, places in self.by_target.items():
             there = [p for p in places if not p.draining]
             assignment = self.assigned.setdefault(target, Assignment(floor=1.0))
-            assignment.servers(now, {p.id: warmed(float(p.slots), now, p.cold) for p in there},
-                               {p.id: p.zone for p in there})
+            assignment.servers(
+                now, {p.id: warmed(float(p.slots), now, p.cold) for p in there}, {p.id: p.zone for p in there}
+            )
             slots, count = slots + sum(p.slots for p in there), count + len(there)
         self.callers.limiters, self.callers.most = limiters, max(1, count)
         self.callers.slots = slots / max(1, count) or 1.0
 
     def _stay(self, now: float, target: str, caller: int, beside: Collection[str]) -> Place | None:
         """The caller's own server, or the next in its order while that has no room."""
+
         def load(name: str) -> float:
             place = self.of.get(name)
-            if (place is None or place.draining or place.silent or place.trial or now < place.rests_until
-                    or place.out >= most):
+            if (
+                place is None
+                or place.draining
+                or place.silent
+                or place.trial
+                or now < place.rests_until
+                or place.out >= most
+            ):
                 return math.inf
             held = self.load(now, place)
             return math.inf if held >= place.slots * (1.0 + QUEUE) else held
 
         most = self.limit(target)
-        name = self.assigned[target].choose(caller, load, beside, width=self.callers.width(now, caller),
-                                            zone=self.zone)
+        name = self.assigned[target].choose(
+            caller, load, beside, width=self.callers.width(now, caller), zone=self.zone
+        )
         return self.of.get(name) if name is not None else None
 
     def usual_of(self, route: str) -> Usual:
@@ -160,8 +169,15 @@
             cost += aim * (NEAR_PART if near else FAR_PART)
         return cost
 
-    def pick(self, now: float, target: str, route: str, aim: float,
-             beside: Collection[str] = (), caller: int | None = None) -> Place | None:
+    def pick(
+        self,
+        now: float,
+        target: str,
+        route: str,
+        aim: float,
+        beside: Collection[str] = (),
+        caller: int | None = None,
+    ) -> Place | None:
         """The server for one more request, not one of those ``beside``; None where none has room.
 
         A ``caller`` that stays put gets its own server while that has room."""
@@ -187,16 +203,27 @@
                 best, least = place, cost
         if best is None and rest:
             best = min(rest, key=lambda p: (p.silent, p.rests_until, self.random.random()))
-        if best is None:               # all are said to be full, which may be false
-            best = min((p for p in self.by_target.get(target, ())
-                        if not p.draining and p.id not in beside and p.out < min(most, p.slots)
-                        and now - p.others_at > TRY_MS), key=lambda p: p.others_at, default=None)
+        if best is None:  # all are said to be full, which may be false
+            best = min(
+                (
+                    p
+                    for p in self.by_target.get(target, ())
+                    if not p.draining
+                    and p.id not in beside
+                    and p.out < min(most, p.slots)
+                    and now - p.others_at > TRY_MS
+                ),
+                key=lambda p: p.others_at,
+                default=None,
+            )
         return best
 
     def room(self, now: float, target: str) -> bool:
         """Whether any server may take one more."""
-        return any(not p.draining and self.load(now, p) < p.slots * (1.0 + QUEUE)
-                   for p in self.by_target.get(target, ()))
+        return any(
+            not p.draining and self.load(now, p) < p.slots * (1.0 + QUEUE)
+            for p in self.by_target.get(target, ())
+        )
 
     def began(self, place: Place) -> None:
         """A request has gone there."""
@@ -233,7 +260,7 @@
         place.trial = False
         place.failures = min(16, place.failures + 1)
         first = SILENT_OUT_MS if silent else OUT_MS
-        if place.failures > 1 or silent:       # any server breaks off an answer now and then
+        if place.failures > 1 or silent:  # any server breaks off an answer now and then
             place.rests_until = now + min(OUT_MOST_MS, first * 2.0 ** (place.failures - 1))
 
     def moot(self, place: Place) -> None:
--- a/larklb/admission/quotas.py
+++ b/larklb/admission/quotas.py
@@ -34,37 +34,37 @@
 from larklb.quota.bucket import TokenBucket
 from larklb.quota.ring import digest, ring_owner
 
-TENANTS = 200_000          # tracked at once, in each table
-ASKS_OUT = 4096            # waiting for a verdict; beyond it the slice decides
-ASKERS = 1024              # of one tenant
-FIRST_TIMEOUT_MS = 60.0    # before a round trip has been seen
-MIN_TIMEOUT_MS = 25.0      # quick peers still stall for a garbage collection or a busy processor
-MAX_TIMEOUT_MS = 120.0     # a request is held for it
-LATE_MS = 2000.0           # a verdict after the time-out still tells the round trip and the copy
-COPY_MS = 1000.0           # up to this age a slice is called the late copy's (design)
-GRANT_MS = 110_000.0       # how long a slice holds without a word of the owner ...
-APART_MS = 120_000.0       # ... and how long it is set aside there, or for a limiter that vanished
-IDLE_MS = 1500.0           # without a request before a slice is given back ...
-NOTE_MS = 500.0            # ... and again, at first after this long and then twice as long
+TENANTS = 200_000  # tracked at once, in each table
+ASKS_OUT = 4096  # waiting for a verdict; beyond it the slice decides
+ASKERS = 1024  # of one tenant
+FIRST_TIMEOUT_MS = 60.0  # before a round trip has been seen
+MIN_TIMEOUT_MS = 25.0  # quick peers still stall for a garbage collection or a busy processor
+MAX_TIMEOUT_MS = 120.0  # a request is held for it
+LATE_MS = 2000.0  # a verdict after the time-out still tells the round trip and the copy
+COPY_MS = 1000.0  # up to this age a slice is called the late copy's (design)
+GRANT_MS = 110_000.0  # how long a slice holds without a word of the owner ...
+APART_MS = 120_000.0  # ... and how long it is set aside there, or for a limiter that vanished
+IDLE_MS = 1500.0  # without a request before a slice is given back ...
+NOTE_MS = 500.0  # ... and again, at first after this long and then twice as long
 NOTE_MAX_MS = 8000.0
-NOTES = 64                 # in one go
-SILENCE_GAPS = 4.0         # mean gaps between an asker's asks that count as silence: 2% of gaps are longer
-SILENCE_MIN_MS = 200.0     # a lost ask and its time-out aren't silence
-SILENCE_MAX_MS = 2000.0    # longer than an idle asker takes to give back
-FIRST_GAP_MS = 500.0       # for an asker that has asked once, or that of the tenant's rate if it is less
-GAP_WEIGHT = 0.125         # of the last gap in the mean
-MOVED_MS = 3000.0          # after a change of the ring, new buckets may be those of other owners ...
-RESTARTED_MS = 10_000.0    # ... as may those of a process that restarted
-MOVED_PART = 0.25          # of the burst: such a bucket starts with no more
-LOWER_MS = 1000.0          # for so long later asks may lower a new bucket, by what they know to be spent
-HELLO_MS = 200.0           # between words to a limiter that hasn't agreed to the ring, and then twice as long
+NOTES = 64  # in one go
+SILENCE_GAPS = 4.0  # mean gaps between an asker's asks that count as silence: 2% of gaps are longer
+SILENCE_MIN_MS = 200.0  # a lost ask and its time-out aren't silence
+SILENCE_MAX_MS = 2000.0  # longer than an idle asker takes to give back
+FIRST_GAP_MS = 500.0  # for an asker that has asked once, or that of the tenant's rate if it is less
+GAP_WEIGHT = 0.125  # of the last gap in the mean
+MOVED_MS = 3000.0  # after a change of the ring, new buckets may be those of other owners ...
+RESTARTED_MS = 10_000.0  # ... as may those of a process that restarted
+MOVED_PART = 0.25  # of the burst: such a bucket starts with no more
+LOWER_MS = 1000.0  # for so long later asks may lower a new bucket, by what they know to be spent
+HELLO_MS = 200.0  # between words to a limiter that hasn't agreed to the ring, and then twice as long
 HELLO_MAX_MS = 4000.0
-UNKNOWN_PART = 0.1         # of its slice of the rate, for a limiter that holds none
-UNKNOWN_TOKENS = 10.0      # that all such limiters have together at first
-ASSUMED_LIMITERS = 16      # before the ring is known
-SLACK_PART = 0.75          # of the rule's slack is for slices; the rest for what is seen late
-WHOLE = 1.0 - 1e-9         # a token, less what sums of fractions lose
-BIG = 1e12                 # no figure of a sane word is above it
+UNKNOWN_PART = 0.1  # of its slice of the rate, for a limiter that holds none
+UNKNOWN_TOKENS = 10.0  # that all such limiters have together at first
+ASSUMED_LIMITERS = 16  # before the ring is known
+SLACK_PART = 0.75  # of the rule's slack is for slices; the rest for what is seen late
+WHOLE = 1.0 - 1e-9  # a token, less what sums of fractions lose
+BIG = 1e12  # no figure of a sane word is above it
 
 OWNER: Final = "owner"
 ASKED: Final = "asked"
@@ -127,13 +127,13 @@
     burst: float
     tokens: float
     at: float
-    used: float                            # last request
+    used: float  # last request
     rule: Bound
-    copied: float = -math.inf              # when the copy was asked for
-    number: int = -1                       # of the ask that brought it
-    owner: int = -1                        # whose copy it is
-    spent: int = 0                         # let in without the owner, in this life ...
-    heard: int = 0                         # ... of which an owner has heard
+    copied: float = -math.inf  # when the copy was asked for
+    number: int = -1  # of the ask that brought it
+    owner: int = -1  # whose copy it is
+    spent: int = 0  # let in without the owner, in this life ...
+    heard: int = 0  # ... of which an owner has heard
     note_at: float = -math.inf
     note_gap: float = NOTE_MS
 
@@ -160,11 +160,11 @@
 
     heard: float
     life: int
-    spent: int                             # what it last told
+    spent: int  # what it last told
     gap: float
-    left: float = 0.0                      # what it was told last
+    left: float = 0.0  # what it was told last
     apart: bool = False
-    aside: float = 0.0                     # at ``heard``, while apart
+    aside: float = 0.0  # at ``heard``, while apart
 
     def silence(self) -> float:
         return min(SILENCE_MAX_MS, max(SILENCE_MIN_MS, SILENCE_GAPS * self.gap))
@@ -174,10 +174,10 @@
 class _Owned:
     bucket: TokenBucket
     used: float
-    moved: bool                            # made where another owner may have been: some may still ask it
-    lost: bool = False                     # another is the owner now
+    moved: bool  # made where another owner may have been: some may still ask it
+    lost: bool = False  # another is the owner now
     askers: dict[int, _Asker] = field(factory=dict)
-    check_at: float = -math.inf            # no asker turns silent, and no part changes, before
+    check_at: float = -math.inf  # no asker turns silent, and no part changes, before
     apart: int = 0
 
 
@@ -187,9 +187,9 @@
 
     breaker: CircuitBreaker = field(factory=CircuitBreaker)
     mean: float = 0.0
-    spread: float = -1.0                   # below 0: none seen yet
+    spread: float = -1.0  # below 0: none seen yet
     used: float = -math.inf
-    agreed: bool = False                   # it has this one's ring, and knows that this one is there
+    agreed: bool = False  # it has this one's ring, and knows that this one is there
     hello_at: float = -math.inf
     hello_gap: float = HELLO_MS
 
@@ -214,11 +214,12 @@
     objects.
     """
 
-    def __init__(self, node: str, now: float, seed: int, *, settled: bool,
-                 bound: Bound | None = None) -> None:
+    def __init__(
+        self, node: str, now: float, seed: int, *, settled: bool, bound: Bound | None = None
+    ) -> None:
         self._chance = random.Random(seed)
         self._bound = bound or Bound()
-        self._life = digest(f"{node} {seed} {now}") >> 16        # fits every reader's integers
+        self._life = digest(f"{node} {seed} {now}") >> 16  # fits every reader's integers
         self._node = node
         self._unsure_until = -math.inf if settled else now + RESTARTED_MS
         self._moved_at = -math.inf
@@ -248,7 +249,7 @@
         self._gone = {n: at for n, at in self._gone.items() if n not in numbers and now - at <= APART_MS}
         changed = ring != self._ring or me != self._me
         for number in set(numbers) - set(self._live):
-            self._peers.pop(number, None)               # a new life; what failed the last one says nothing
+            self._peers.pop(number, None)  # a new life; what failed the last one says nothing
         self._live, self._ring, self._me = dict(numbers), ring, me
         if changed:
             self._owners.clear()
@@ -293,8 +294,17 @@
         self._number += 1
         self._waiting += 1
         self._out[self._number] = _Out(allowance, owner, now)
-        message = {"k": "ask", "n": self._number, "t": tenant, "r": allowance.rate, "b": allowance.burst,
-                   "v": self._version, "life": self._life, "spent": part.spent, "heard": part.heard}
+        message = {
+            "k": "ask",
+            "n": self._number,
+            "t": tenant,
+            "r": allowance.rate,
+            "b": allowance.burst,
+            "v": self._version,
+            "life": self._life,
+            "spent": part.spent,
+            "heard": part.heard,
+        }
         age = now - part.copied
         if age <= GRANT_MS:
             part.fill(now, self._limiters())
@@ -330,7 +340,7 @@
         out = self._out.pop(number, None)
         if out is None:
             return None
-        self._peer(now, out.owner).breaker = CircuitBreaker()            # any word drops it
+        self._peer(now, out.owner).breaker = CircuitBreaker()  # any word drops it
         self._peers[out.owner].seen(now - out.sent)
         part = self._slice(now, out.allowance)
         part.heard = max(part.heard, min(spent, part.spent))
@@ -379,8 +389,19 @@
             if now - part.copied > GRANT_MS or part.owner == self._me or part.owner not in self._live:
                 continue
             part.note_at, part.note_gap = now + part.note_gap, min(NOTE_MAX_MS, 2.0 * part.note_gap)
-            notes.append((part.owner, {"k": "back", "n": part.number, "t": tenant, "life": self._life,
-                                       "spent": part.spent, "heard": part.heard}))
+            notes.append(
+                (
+                    part.owner,
+                    {
+                        "k": "back",
+                        "n": part.number,
+                        "t": tenant,
+                        "life": self._life,
+                        "spent": part.spent,
+                        "heard": part.heard,
+                    },
+                )
+            )
         return notes
 
     def clean(self, now: float) -> None:
@@ -399,7 +420,7 @@
             elif idle > RESTARTED_MS and not any(asker.apart for asker in owned.askers.values()):
                 self._check(now, owned)
                 if owned.bucket.fill(now) >= owned.bucket.burst * owned.bucket.part - 1e-6:
-                    del self._owned[tenant]             # a new one would be full as well
+                    del self._owned[tenant]  # a new one would be full as well
         for tenant, part in list(self._slices.items()):
             held = part.number >= 0 and now - part.copied <= GRANT_MS
             if not held and now - part.used > RESTARTED_MS + 1000.0 * part.burst / max(part.rate, 1e-6):
@@ -414,14 +435,30 @@
         rows: list[dict[str, Any]] = []
         for tenant, owned in _of(self._owned, only):
             self._check(now, owned)
-            rows.append({"tenant": tenant, "role": "owner", "tokens": round(owned.bucket.tokens, 3),
-                         "rate": owned.bucket.rate, "burst": owned.bucket.burst, "apart": owned.apart,
-                         "askers": len(owned.askers)})
+            rows.append(
+                {
+                    "tenant": tenant,
+                    "role": "owner",
+                    "tokens": round(owned.bucket.tokens, 3),
+                    "rate": owned.bucket.rate,
+                    "burst": owned.bucket.burst,
+                    "apart": owned.apart,
+                    "askers": len(owned.askers),
+                }
+            )
         for tenant, part in _of(self._slices, only):
             part.fill(now, self._limiters())
-            rows.append({"tenant": tenant, "role": "asker", "tokens": round(part.tokens, 3),
-                         "rate": part.rate, "burst": part.burst, "owner": self._owner(tenant),
-                         "untold": part.spent - part.heard})
+            rows.append(
+                {
+                    "tenant": tenant,
+                    "role": "asker",
+                    "tokens": round(part.tokens, 3),
+                    "rate": part.rate,
+                    "burst": part.burst,
+                    "owner": self._owner(tenant),
+                    "untold": part.spent - part.heard,
+                }
+            )
         return rows
 
     def _limiters(self) -> int:
@@ -466,7 +503,8 @@
             count = self._limiters()
             tokens = min(1.0, UNKNOWN_TOKENS / count, allowance.burst / count)
             part = self._slices[allowance.tenant] = _Slice(
-                allowance.rate, allowance.burst, tokens, now, now, self._bound)
+                allowance.rate, allowance.burst, tokens, now, now, self._bound
+            )
         elif part.rate != allowance.rate or part.burst != allowance.burst:
             part.fill(now, self._limiters())
             part.rate, part.burst = allowance.rate, allowance.burst
@@ -500,11 +538,14 @@
     def _answer(self, now: float, sender: int, message: dict[str, Any]) -> dict[str, Any] | None:
         kind = message.get("k")
         if sender in self._peers:
-            self._peers[sender].breaker = CircuitBreaker()               # any word drops it
+            self._peers[sender].breaker = CircuitBreaker()  # any word drops it
         if kind == "hello":
             ring = _whole(message, "ring")
-            return None if self._me is None or not ring else {"k": "hi", "n": self._me,
-                                                              "ring": self._ring_digest()}
+            return (
+                None
+                if self._me is None or not ring
+                else {"k": "hi", "n": self._me, "ring": self._ring_digest()}
+            )
         number, tenant = _whole(message, "n"), _text(message, "t")
         life, spent, heard = _whole(message, "life"), _whole(message, "spent"), _whole(message, "heard")
         if kind == "back":
@@ -524,20 +565,32 @@
         if mine is not None and self._version >= version:
             allowance, version = mine, self._version
         if allowance.rate <= 0:
-            return {"k": "verdict", "n": number, "ok": True, "left": allowance.burst, "wait": 0.0,
-                    "spent": spent}
+            return {
+                "k": "verdict",
+                "n": number,
+                "ok": True,
+                "left": allowance.burst,
+                "wait": 0.0,
+                "spent": spent,
+            }
         owned = self._own(now, allowance, version, left)
         if left is not None and owned.moved and now - owned.bucket.born <= LOWER_MS and of != self._me:
             owned.bucket.fill(now)
-            owned.bucket.tokens = min(owned.bucket.tokens, left)         # it knows of spending elsewhere
+            owned.bucket.tokens = min(owned.bucket.tokens, left)  # it knows of spending elsewhere
         held = None if left is None or of == self._me else left / self._limiters()
         self._returned(now, owned, sender, life, spent, heard, held)
         verdict = self._take(now, owned, ASKED)
         tokens = owned.bucket.tokens
         if sender in owned.askers:
             owned.askers[sender].left = tokens
-        return {"k": "verdict", "n": number, "ok": verdict.allowed, "left": tokens,
-                "wait": verdict.retry_after_ms, "spent": spent}
+        return {
+            "k": "verdict",
+            "n": number,
+            "ok": verdict.allowed,
+            "left": tokens,
+            "wait": verdict.retry_after_ms,
+            "spent": spent,
+        }
 
     def _own(self, now: float, allowance: Allowance, version: int, left: float | None) -> _Owned:
         """The bucket of a tenant; a new one starts with no more than is known to be left (``left``)."""
@@ -548,10 +601,10 @@
             tokens = min(tokens, self._own_copy(now, allowance.tenant))
             if left is not None:
                 tokens = min(tokens, left)
-            tokens *= 1.0 - len(self._gone) / self._limiters()           # those have theirs, if only cut off
+            tokens *= 1.0 - len(self._gone) / self._limiters()  # those have theirs, if only cut off
             if len(self._owned) >= TENANTS:
                 del self._owned[next(iter(self._owned))]
-                self._moved_at = now                    # it could come back, and not full
+                self._moved_at = now  # it could come back, and not full
             bucket = TokenBucket(allowance.rate, allowance.burst, tokens, now, born=now, version=version)
             owned = self._owned[allowance.tenant] = _Owned(bucket, now, moved)
         elif version >= owned.bucket.version:
@@ -591,7 +644,7 @@
         """Fill the bucket by its part, and set aside the slices of askers that have gone silent."""
         bucket = owned.bucket
         bucket.fill(now)
-        bucket.escrow = 0.0                             # what is set aside is counted by asker
+        bucket.escrow = 0.0  # what is set aside is counted by asker
         if again or now >= owned.check_at:
             self._set_aside(now, owned)
         bucket.tokens = min(bucket.tokens, max(1.0, bucket.burst * bucket.part))
@@ -612,16 +665,29 @@
                 apart.add(number)
             check_at = min(check_at, asker.heard + (APART_MS if asker.apart else asker.silence()))
         if owned.moved:
-            missing = {n for n in self._ring if n != self._me and n not in owned.askers
-                       and not ((peer := self._peers.get(n)) and peer.agreed)}
+            missing = {
+                n
+                for n in self._ring
+                if n != self._me
+                and n not in owned.askers
+                and not ((peer := self._peers.get(n)) and peer.agreed)
+            }
             apart |= missing
             owned.moved = bool(missing) or now - bucket.born <= LOWER_MS
             check_at = min(check_at, now + SILENCE_MIN_MS)
         owned.apart = len(apart)
         bucket.part, owned.check_at = max(1.0 / count, 1.0 - len(apart) / count), check_at
 
-    def _returned(self, now: float, owned: _Owned, sender: int, life: int, spent: int, heard: int,
-                  held: float | None = None) -> None:
+    def _returned(
+        self,
+        now: float,
+        owned: _Owned,
+        sender: int,
+        life: int,
+        spent: int,
+        heard: int,
+        held: float | None = None,
+    ) -> None:
         """A word of an asker: what it let in by itself is taken, what was set aside beyond it comes back, no
         more than it has (``held``) if it has heard another owner since."""
         self._check(now, owned)
--- a/larklb/admission/tries.py
+++ b/larklb/admission/tries.py
@@ -14,22 +14,22 @@
 class End(Enum):
     """How an attempt ended."""
 
-    ANSWER = "answer"              # a whole answer of the server, to be passed on
-    ERROR = "error"                # the same, a server's error: it has run
-    NOT_RUN = "not run"            # the server says that it has not run it
-    UNSENT = "unsent"              # no byte of it was written
-    BROKEN = "broken"              # written, and no whole answer came: it may have run
-    SILENT = "silent"              # the same, for want of time
+    ANSWER = "answer"  # a whole answer of the server, to be passed on
+    ERROR = "error"  # the same, a server's error: it has run
+    NOT_RUN = "not run"  # the server says that it has not run it
+    UNSENT = "unsent"  # no byte of it was written
+    BROKEN = "broken"  # written, and no whole answer came: it may have run
+    SILENT = "silent"  # the same, for want of time
 
 
 class Next(Enum):
     """What follows."""
 
-    PASS = "pass"                  # the server's answer goes on
-    AGAIN = "again"                # another server, where tries, time and budget allow it; else ...
-    REFUSE = "refuse"              # 503: it has not run
-    FAIL = "fail"                  # 502: it may have run
-    LATE = "late"                  # 504: it may have run, and there is no time
+    PASS = "pass"  # the server's answer goes on
+    AGAIN = "again"  # another server, where tries, time and budget allow it; else ...
+    REFUSE = "refuse"  # 503: it has not run
+    FAIL = "fail"  # 502: it may have run
+    LATE = "late"  # 504: it may have run, and there is no time
 
 
 #                 safe                        unsafe
@@ -42,7 +42,7 @@
     End.SILENT: ((Next.AGAIN, Next.LATE), (Next.LATE, Next.LATE)),
 }
 
-MOST_UNSENT = 4            # attempts of one request that reach no server at all
+MOST_UNSENT = 4  # attempts of one request that reach no server at all
 
 
 @define
@@ -50,7 +50,7 @@
     """One request's attempts so far."""
 
     safe: bool
-    tries: int                     # servers that it may be sent to
+    tries: int  # servers that it may be sent to
     sent: int = 0
     unsent: int = 0
     may_have_run: bool = False
--- a/larklb/assignment/assignment.py
+++ b/larklb/assignment/assignment.py
@@ -16,20 +16,20 @@
 from larklb.assignment.errors import WeightError
 from larklb.assignment.ring import Ring
 
-NODES = 16                 # virtual nodes for each unit of weight (a slot): 4 slots give a server 64 of them
-NODES_MOST = 8_192         # of one server, whatever its weight
-LOOKS = 2                  # servers whose load is looked at for the mean with each choice, all in turn
-WALK_MOST = 64             # servers that a choice looks at before it takes the least loaded of them
-PAIR = 2                   # of a wide set, servers that are compared for one request
-AHEAD = 8                  # servers of a caller's order that are kept until the servers change
-KEPT_MOST = 524_288        # ids kept so, of all callers: 57,000 of them take some 15 MB
-BACK_MS = 10_000.0         # a server that is back within so long of leaving flaps ...
-HOLD_MS = 5_000.0          # ... and gets callers again after so long, twice as long after each more ...
-HOLD_MOST_MS = 60_000.0    # ... up to this; one that has stayed in for so long doesn't flap any more
-HELD_PART = 0.25           # of all weight that may be held back: many at once are a mended network
-FLAPS_MOST = 4_096         # servers that left and are remembered
-WARM_MS = 8_000.0          # a server that has just started is slow for about so long
-WARM_STEPS = 8             # in which its weight rises: the first at once, or nobody would warm it
+NODES = 16  # virtual nodes for each unit of weight (a slot): 4 slots give a server 64 of them
+NODES_MOST = 8_192  # of one server, whatever its weight
+LOOKS = 2  # servers whose load is looked at for the mean with each choice, all in turn
+WALK_MOST = 64  # servers that a choice looks at before it takes the least loaded of them
+PAIR = 2  # of a wide set, servers that are compared for one request
+AHEAD = 8  # servers of a caller's order that are kept until the servers change
+KEPT_MOST = 524_288  # ids kept so, of all callers: 57,000 of them take some 15 MB
+BACK_MS = 10_000.0  # a server that is back within so long of leaving flaps ...
+HOLD_MS = 5_000.0  # ... and gets callers again after so long, twice as long after each more ...
+HOLD_MOST_MS = 60_000.0  # ... up to this; one that has stayed in for so long doesn't flap any more
+HELD_PART = 0.25  # of all weight that may be held back: many at once are a mended network
+FLAPS_MOST = 4_096  # servers that left and are remembered
+WARM_MS = 8_000.0  # a server that has just started is slow for about so long
+WARM_STEPS = 8  # in which its weight rises: the first at once, or nobody would warm it
 
 
 def caller_key(tenant: str, route: str, extra: str = "") -> int:
@@ -51,8 +51,8 @@
     """A server that has left, once or more."""
 
     left: float
-    times: int = 0                     # it came back too soon
-    until: float = -math.inf           # held back
+    times: int = 0  # it came back too soon
+    until: float = -math.inf  # held back
 
 
 @define
@@ -67,28 +67,29 @@
     spread: float = field(default=1.25, kw_only=True)
     floor: float = field(default=0.0, kw_only=True)
     nodes: int = field(default=NODES, kw_only=True)
-    next_at: float = field(default=math.inf, init=False)     # when one held back would be let in
+    next_at: float = field(default=math.inf, init=False)  # when one held back would be let in
     _told: dict[str, float] = field(factory=dict, init=False)
     _told_zones: dict[str, str] = field(factory=dict, init=False)
-    _weights: dict[str, float] = field(factory=dict, init=False)     # of those that get callers
-    _zones: dict[str, str] = field(factory=dict, init=False)         # of those that have one
+    _weights: dict[str, float] = field(factory=dict, init=False)  # of those that get callers
+    _zones: dict[str, str] = field(factory=dict, init=False)  # of those that have one
     _ring: Ring = field(factory=Ring, init=False)
-    _near: dict[str, Ring] = field(factory=dict, init=False)         # by zone
+    _near: dict[str, Ring] = field(factory=dict, init=False)  # by zone
     _flaps: dict[str, _Flap] = field(factory=dict, init=False)
-    _orders: dict[str, dict[int, list[str]]] = field(factory=dict, init=False)   # first ones, by zone, caller
-    _kept: int = field(default=0, init=False)                # ids in those
+    _orders: dict[str, dict[int, list[str]]] = field(factory=dict, init=False)  # first ones, by zone, caller
+    _kept: int = field(default=0, init=False)  # ids in those
     _turn: int = field(default=0, init=False)
-    _ids: list[str] = field(factory=list, init=False)        # whose load is looked at in turn
+    _ids: list[str] = field(factory=list, init=False)  # whose load is looked at in turn
     _at: int = field(default=0, init=False)
-    _loads: dict[str, float] = field(factory=dict, init=False)       # as looked at, -1: it takes none
-    _load: float = field(default=0.0, init=False)            # their sum
-    _weight: float = field(default=0.0, init=False)          # of those that take requests
+    _loads: dict[str, float] = field(factory=dict, init=False)  # as looked at, -1: it takes none
+    _load: float = field(default=0.0, init=False)  # their sum
+    _weight: float = field(default=0.0, init=False)  # of those that take requests
     _looked: bool = field(default=False, init=False)
 
     # Servers ----------------------------------------------------------------------------------
 
-    def servers(self, now: float, servers: Mapping[str, float],
-                zones: Mapping[str, str] | None = None) -> list[str]:
+    def servers(
+        self, now: float, servers: Mapping[str, float], zones: Mapping[str, str] | None = None
+    ) -> list[str]:
         """All servers there are, with their weights (ability x slots); 0 for one that drains.
 
         Returns the ids that get callers from now on, or no longer, sorted.  A server that left and is back
@@ -231,7 +232,7 @@
             for server in ids:
                 self._look(server, load)
         for _ in range(LOOKS):
-            if self._at >= len(ids):       # sums of many small steps drift
+            if self._at >= len(ids):  # sums of many small steps drift
                 self._at = 0
                 self._load = sum(part for part in self._loads.values() if part > 0.0)
                 self._weight = sum(w for s, w in self._weights.items() if self._loads[s] >= 0.0)
@@ -246,8 +247,16 @@
         fair = level * weight
         return max(self.spread * fair - 1.0, fair, self.floor * weight)
 
-    def choose(self, caller: int, load: Callable[[str], float], extra: Collection[str] = (), *,
-               width: int = 1, zone: str = "", level: float | None = None) -> str | None:
+    def choose(
+        self,
+        caller: int,
+        load: Callable[[str], float],
+        extra: Collection[str] = (),
+        *,
+        width: int = 1,
+        zone: str = "",
+        level: float | None = None,
+    ) -> str | None:
         """The server for one more request of a caller: the first in its order whose load is under its bound.
 
         `load`: what a server has in hand, infinite where it can take nothing.  `extra`: servers that won't do
@@ -275,7 +284,7 @@
             if server in extra:
                 continue
             weight, now = weights[server], load(server)
-            fair = level * weight          # as `bound`, which costs a call here
+            fair = level * weight  # as `bound`, which costs a call here
             if now < fair or now < spread * fair - 1.0 or now < floor * weight:
                 return server
             if now < math.inf:
@@ -286,8 +295,9 @@
                     break
         return next((server for server, part in looked if part <= least * spread), None)
 
-    def _among(self, servers: list[str], load: Callable[[str], float], extra: Collection[str],
-               level: float) -> str | None:
+    def _among(
+        self, servers: list[str], load: Callable[[str], float], extra: Collection[str], level: float
+    ) -> str | None:
         """Of PAIR servers of a set, in turn, the less loaded one under its bound."""
         self._turn += 1
         best, least = None, math.inf
--- a/larklb/assignment/callers.py
+++ b/larklb/assignment/callers.py
@@ -6,19 +6,19 @@
 
 from attrs import define, field
 
-FADE_MS = 5_000.0          # a caller's work fades with this time constant: its rate is that of some seconds
-PART = 0.5                 # of a server's slots that one caller may fill before it gets one more server
-GROW_MS = 1_000.0          # between two more servers, over how many are wanting: a surge is met in seconds
-SHRINK_MS = 2_000.0        # between two fewer servers
-SLACK = 0.5                # of a server's part by which the need must lie below before the set shrinks
-CALLERS_MOST = 65_536      # callers that are known at once; those seen longest ago are forgotten
+FADE_MS = 5_000.0  # a caller's work fades with this time constant: its rate is that of some seconds
+PART = 0.5  # of a server's slots that one caller may fill before it gets one more server
+GROW_MS = 1_000.0  # between two more servers, over how many are wanting: a surge is met in seconds
+SHRINK_MS = 2_000.0  # between two fewer servers
+SLACK = 0.5  # of a server's part by which the need must lie below before the set shrinks
+CALLERS_MOST = 65_536  # callers that are known at once; those seen longest ago are forgotten
 
 
 @define
 class _Flow:
     """What one caller sends."""
 
-    work: float = 0.0                  # ms of slots, faded, as of ...
+    work: float = 0.0  # ms of slots, faded, as of ...
     at: float = -math.inf
     width: int = 1
     changed: float = -math.inf
@@ -44,7 +44,7 @@
             flow = _Flow()
             if len(self._of) >= CALLERS_MOST:
                 del self._of[next(iter(self._of))]
-        self._of[caller] = flow            # the last is the one seen last
+        self._of[caller] = flow  # the last is the one seen last
         flow.work = flow.work * math.exp(min(0.0, flow.at - now) / FADE_MS) + work_ms
         flow.at = max(flow.at, now)
 
--- a/larklb/assignment/ring.py
+++ b/larklb/assignment/ring.py
@@ -15,14 +15,14 @@
 from attrs import define, field
 from xxhash import xxh3_64_intdigest
 
-BITS = 64                          # of a place on the ring
+BITS = 64  # of a place on the ring
 MASK = (1 << BITS) - 1
-PROBES = 2                         # of a caller: a third one costs a fifth more time
-PROBE_STEP = 0x9E3779B97F4A7C15    # odd, so that a caller's next probe is a one-to-one map of the last
+PROBES = 2  # of a caller: a third one costs a fifth more time
+PROBE_STEP = 0x9E3779B97F4A7C15  # odd, so that a caller's next probe is a one-to-one map of the last
 PROBE_SHIFT = 0xD1B54A32D192ED03
-SHELF = 32                         # nodes on a shelf in the mean: what an insertion moves is a few of these
+SHELF = 32  # nodes on a shelf in the mean: what an insertion moves is a few of these
 
-Cursor = tuple[int, int, int, int]         # distance from the probe, the probe's place, shelf, node there
+Cursor = tuple[int, int, int, int]  # distance from the probe, the probe's place, shelf, node there
 
 
 def node_at(server: str, number: int) -> int:
@@ -51,10 +51,10 @@
     _shift: int = BITS
     _places: list[array[int]] = field(factory=lambda: [array("Q")])
     _owners: list[array[int]] = field(factory=lambda: [array("I")])
-    _ids: list[str] = field(factory=list)                    # by number
+    _ids: list[str] = field(factory=list)  # by number
     _numbers: dict[str, int] = field(factory=dict)
-    _free: list[int] = field(factory=list)                   # numbers whose servers have left
-    _nodes: dict[str, int] = field(factory=dict)             # how many each server has
+    _free: list[int] = field(factory=list)  # numbers whose servers have left
+    _nodes: dict[str, int] = field(factory=dict)  # how many each server has
     _size: int = 0
 
     def __len__(self) -> int:
@@ -95,7 +95,7 @@
         places, owners = self._places[place >> self._shift], self._owners[place >> self._shift]
         i = bisect_left(places, place)
         while i < len(places) and places[i] == place and self._ids[owners[i]] < server:
-            i += 1                         # nodes at one place: the order of ids, as in every process
+            i += 1  # nodes at one place: the order of ids, as in every process
         places.insert(i, place)
         owners.insert(i, self._numbers[server])
 
@@ -127,8 +127,10 @@
         """All servers, each once, by the distance of their nearest nodes from the caller's probes."""
         if not self._size:
             return
-        cursors = [self._onward(p, p >> self._shift, bisect_left(self._places[p >> self._shift], p))
-                   for p in probes(caller)]
+        cursors = [
+            self._onward(p, p >> self._shift, bisect_left(self._places[p >> self._shift], p))
+            for p in probes(caller)
+        ]
         seen: set[int] = set()
         for _ in range(PROBES * self._size):
             nearest = min(cursors)
--- a/larklb/balancing/choice.py
+++ b/larklb/balancing/choice.py
@@ -18,29 +18,29 @@
 from larklb.balancing.load import TRUST_LEAST, Hands, Others, bearable, waiting
 from larklb.quota.ring import digest
 
-FRESH_MS = 250.0           # an ability is judged anew after so long, or after news
-NEW_MS = 4_000.0           # a server that is new, warm or back for less is expected to have what others
-                           # have: all limiters see it idle at the same moment
-HAND_MS = 3_000.0          # requests in hand are averaged over this, for the others
-CROWD = 0.5                # of the work that a server with all slots in use costs beside its waiting: it
-                           # makes others wait
-NEAR_PART = 0.12           # of the aim that another zone of the region costs ...
-FAR_PART = 0.5             # ... and another region
-TAIL = 0.5                 # of the aim that a certain miss of it costs
-OWN = 0.12                 # of the work that a server costs less which falls to this limiter among its peers
-DOUBT = 0.25               # of its error by which a server's slowness counts less: the unknown is tried
-LATE_TIMES = 1.5           # of that again, for its slowness isn't certain
-LATE_OTHERS = 1            # more other limiters than this with a request overdue condemn alike
-LATE_SPREADS = 2.3         # standard deviations beyond the usual from which an answer is overdue
-OVERDUE = 4.0              # times that a server costs at which a request is overdue
-FAILED = 4.0               # times that a server costs that has just failed ...
-FAILED_PART = 0.2          # ... but for this part of requests
-ROUTE_WEIGHT = 0.03        # of one answer in what is usual for a route
-SPREAD_FIRST = 0.7         # standard deviation of a route's logarithms before many answers
-QUEUED_WEIGHT = 0.3        # of a sample that had to wait, or came from a cold server
-CHANCE = 0.04              # of the cost, by chance
-TRY_MS = 1_000.0           # where all are said to be full, one whose word is older is tried: it may be false
-PENDING = 4_096            # requests in hand whose start is kept
+FRESH_MS = 250.0  # an ability is judged anew after so long, or after news
+NEW_MS = 4_000.0  # a server that is new, warm or back for less is expected to have what others
+# have: all limiters see it idle at the same moment
+HAND_MS = 3_000.0  # requests in hand are averaged over this, for the others
+CROWD = 0.5  # of the work that a server with all slots in use costs beside its waiting: it
+# makes others wait
+NEAR_PART = 0.12  # of the aim that another zone of the region costs ...
+FAR_PART = 0.5  # ... and another region
+TAIL = 0.5  # of the aim that a certain miss of it costs
+OWN = 0.12  # of the work that a server costs less which falls to this limiter among its peers
+DOUBT = 0.25  # of its error by which a server's slowness counts less: the unknown is tried
+LATE_TIMES = 1.5  # of that again, for its slowness isn't certain
+LATE_OTHERS = 1  # more other limiters than this with a request overdue condemn alike
+LATE_SPREADS = 2.3  # standard deviations beyond the usual from which an answer is overdue
+OVERDUE = 4.0  # times that a server costs at which a request is overdue
+FAILED = 4.0  # times that a server costs that has just failed ...
+FAILED_PART = 0.2  # ... but for this part of requests
+ROUTE_WEIGHT = 0.03  # of one answer in what is usual for a route
+SPREAD_FIRST = 0.7  # standard deviation of a route's logarithms before many answers
+QUEUED_WEIGHT = 0.3  # of a sample that had to wait, or came from a cold server
+CHANCE = 0.04  # of the cost, by chance
+TRY_MS = 1_000.0  # where all are said to be full, one whose word is older is tried: it may be false
+PENDING = 4_096  # requests in hand whose start is kept
 
 
 @define
@@ -48,7 +48,7 @@
     """What is usual for a route at speed 1: mean and spread of the logarithm of the service time."""
 
     mean: float = math.log(admission.USUAL_MS)
-    variance: float = SPREAD_FIRST ** 2
+    variance: float = SPREAD_FIRST**2
     seen: int = 0
 
     def add(self, x: float, weight: float) -> None:
@@ -57,8 +57,9 @@
         step = weight * max(ROUTE_WEIGHT, 1.0 / self.seen)
         apart = x - self.mean
         self.mean += step * apart
-        self.variance += weight * max(ROUTE_WEIGHT / 2, 1.0 / (8 + self.seen)) * (
-            min(apart * apart, 4.0) - self.variance)
+        self.variance += (
+            weight * max(ROUTE_WEIGHT / 2, 1.0 / (8 + self.seen)) * (min(apart * apart, 4.0) - self.variance)
+        )
 
     def work(self) -> float:
         """The mean service time, ms."""
@@ -74,17 +75,17 @@
     ability: Ability = field(factory=Ability)
     factor: float = 1.0
     shared: float | None = None
-    mean: float = 0.0              # requests of others whose word on what is in hand doesn't hold
-    late: int = 0                  # other limiters with a request overdue there
-    since: float = -math.inf       # when it was new, warm or back; all that are there at the start are old
+    mean: float = 0.0  # requests of others whose word on what is in hand doesn't hold
+    late: int = 0  # other limiters with a request overdue there
+    since: float = -math.inf  # when it was new, warm or back; all that are there at the start are old
     judged: float = -math.inf
     hand_at: float = -math.inf
     mine: bool = False
-    price: float = 0.0             # of its zone, in parts of the aim
+    price: float = 0.0  # of its zone, in parts of the aim
     begun: list[tuple[float, str]] = field(factory=list)
-    due: float = math.inf          # when the first one in hand is overdue that nothing later overtook
-    lost: int = 0                  # requests in hand that were overtaken and are overdue: no load any more
-    passed: float = -math.inf      # when the latest one that was answered had begun
+    due: float = math.inf  # when the first one in hand is overdue that nothing later overtook
+    lost: int = 0  # requests in hand that were overtaken and are overdue: no load any more
+    passed: float = -math.inf  # when the latest one that was answered had begun
 
 
 @define
@@ -92,18 +93,18 @@
     """All servers as one limiter sees them, with what the others tell."""
 
     me: str = ""
-    exchange: bool = True                                  # near peers tell what they have in hand
+    exchange: bool = True  # near peers tell what they have in hand
     names: tuple[tuple[str, str], ...] = ()
     estimates: Estimates = field(factory=Estimates)
     hands: Hands = field(factory=Hands)
-    crowds: dict[str, float] = field(factory=dict)         # by target: others' requests for each slot
+    crowds: dict[str, float] = field(factory=dict)  # by target: others' requests for each slot
     norms: dict[str, Norm] = field(factory=dict)
     seen: dict[str, Seen] = field(factory=dict)
-    works: dict[str, float] = field(factory=dict)          # by target: mean work at speed 1, ms
-    aims: dict[str, float] = field(factory=dict)           # by target: the longest
+    works: dict[str, float] = field(factory=dict)  # by target: mean work at speed 1, ms
+    aims: dict[str, float] = field(factory=dict)  # by target: the longest
     clock: float = 0.0
     route: str = ""
-    ended: tuple[Place, str, float] | None = None          # an answer whose load may yet be told
+    ended: tuple[Place, str, float] | None = None  # an answer whose load may yet be told
 
     # Who there is ---------------------------------------------------------------------------
 
@@ -114,11 +115,14 @@
         self._divide()
 
     def update(self, servers: Iterable[Place]) -> None:
+        """Takes the servers that there are now; what was seen of those that stay is kept."""
         silent = [name for name, place in self.of.items() if place.silent]
         Choice.update(self, servers)
         since = self.clock if self.seen else -math.inf
-        self.seen = {name: self.seen.get(name) or Seen(self.estimates.of(self.clock, name), since=since)
-                     for name in self.of}
+        self.seen = {
+            name: self.seen.get(name) or Seen(self.estimates.of(self.clock, name), since=since)
+            for name in self.of
+        }
         self.estimates.keep(self.of)
         for name, place in self.of.items():
             self.seen[name].price = self._price(place)
@@ -205,6 +209,7 @@
         return known, mean if mean > 0.0 else 0.0
 
     def load(self, now: float, place: Place) -> float:
+        """What the server has in hand, here and as far as others tell, in requests."""
         if not self.exchange:
             return Choice.load(self, now, place)
         seen = self.seen[place.id]
@@ -213,11 +218,19 @@
 
     # Choice ---------------------------------------------------------------------------------
 
-    def pick(self, now: float, target: str, route: str, aim: float,
-             beside: Collection[str] = (), caller: int | None = None) -> Place | None:
+    def pick(
+        self,
+        now: float,
+        target: str,
+        route: str,
+        aim: float,
+        beside: Collection[str] = (),
+        caller: int | None = None,
+    ) -> Place | None:
+        """The server for a request, None where there is none that may get it."""
         self._settle()
         self.clock, self.route = now, route
-        if not self.exchange:          # by itself it is no better than what it takes the place of
+        if not self.exchange:  # by itself it is no better than what it takes the place of
             return Choice.pick(self, now, target, route, aim, beside, caller)
         if caller is not None and target in self.assigned:
             self.callers.seen(now, caller, self.usual_of(route).mean)
@@ -254,8 +267,11 @@
             left = aim - wait
             # The probability of a miss, from the logistic curve nearest the normal.
             late = 1.0 / (1.0 + exp(min(50.0, steep * (log(left / factor) - middle)))) if left > 1.0 else 1.0
-            cost = (wait + factor * work * (1.0 + CROWD * load / slots - (OWN if seen.mine else 0.0))
-                    + aim * (seen.price + TAIL * late)) * (1.0 + CHANCE * chance())
+            cost = (
+                wait
+                + factor * work * (1.0 + CROWD * load / slots - (OWN if seen.mine else 0.0))
+                + aim * (seen.price + TAIL * late)
+            ) * (1.0 + CHANCE * chance())
             if now > seen.due or seen.late > LATE_OTHERS:
                 cost *= OVERDUE
             if place.failures and chance() > FAILED_PART:
@@ -269,14 +285,18 @@
         return best
 
     def room(self, now: float, target: str) -> bool:
+        """Whether some server of the service has a free slot."""
         usual, aim = self.works.get(target, admission.USUAL_MS), self.aims.get(target, math.inf)
-        return any(not p.draining
-                   and self.load(now, p) < bearable(max(1, p.slots), usual, self.seen[p.id].factor, aim)
-                   for p in self.by_target.get(target, ()))
+        return any(
+            not p.draining
+            and self.load(now, p) < bearable(max(1, p.slots), usual, self.seen[p.id].factor, aim)
+            for p in self.by_target.get(target, ())
+        )
 
     # What happens ---------------------------------------------------------------------------
 
     def began(self, place: Place) -> None:
+        """An attempt at the server begins."""
         now, seen = self.clock, self.seen.get(place.id)
         if seen is not None:
             self._hand(now, place, seen)
@@ -316,6 +336,7 @@
         self._pending(now, seen)
 
     def answered(self, now: float, place: Place, route: str, took: float, worked: bool) -> None:
+        """The server answered after ``took`` ms; ``worked``: with no failure of its own."""
         self._over(now, place, now - took, answered=True)
         back = place.trial
         Choice.answered(self, now, place, route, took, worked)
@@ -325,6 +346,7 @@
             self.ended = place, route, took
 
     def told(self, now: float, place: Place, running: int, waiting: int) -> None:
+        """The server told its load."""
         Choice.told(self, now, place, running, waiting)
         seen = self.seen.get(place.id)
         if seen is None:
@@ -351,8 +373,9 @@
             if seen is not None:
                 self._sample(self.clock, place, seen, route, took, None)
 
-    def _sample(self, now: float, place: Place, seen: Seen, route: str, took: float,
-                before: float | None) -> None:
+    def _sample(
+        self, now: float, place: Place, seen: Seen, route: str, took: float, before: float | None
+    ) -> None:
         """One service time; ``before``: requests for each slot that were before it, None where not told."""
         usual = self.works.get(place.target, admission.USUAL_MS)
         factor, weight = self._factor(now, place, seen), 1.0
@@ -375,6 +398,7 @@
         self.works[place.target] = usual + 0.03 * (worked - usual) if place.target in self.works else worked
 
     def full(self, now: float, place: Place) -> None:
+        """The server turned a request away."""
         self._over(now, place, now)
         Choice.full(self, now, place)
         seen = self.seen.get(place.id)
@@ -383,6 +407,7 @@
             seen.others.mean, seen.others.at = max(seen.others.mean, 0.0), now
 
     def failed(self, now: float, place: Place, silent: bool) -> None:
+        """An attempt failed; ``silent``: the server said nothing."""
         seen = self.seen.get(place.id)
         dropped = silent and seen is not None and bool(seen.begun) and seen.begun[0][0] < seen.passed
         self._over(now, place, -math.inf)
@@ -393,6 +418,7 @@
             Choice.failed(self, now, place, silent)
 
     def moot(self, place: Place) -> None:
+        """An attempt ended that says nothing of the server."""
         self._over(self.clock, place, self.clock)
         Choice.moot(self, place)
 
--- a/larklb/balancing/estimates.py
+++ b/larklb/balancing/estimates.py
@@ -16,21 +16,21 @@
 
 from larklb.balancing.errors import UnreadableError
 
-LONG_MS = 20_000.0         # evidence fades with this time constant ...
-SHORT_MS = 2_000.0         # ... and that for sudden changes with this one
-PRIOR = 8.0                # precision of 'like the others': servers' logarithms differ by 0.35
-MOST_WEIGHT = 2.5          # precision of one sample at the most: three at least make a change
-FALL_ERRORS = 3.0          # standard errors by which recent evidence must be slower to be believed alone ...
-FALL_LEAST = 6.0           # ... and its precision
-FALL_KEEP = 3.0            # precision of what was known before, where a change is believed
-FALL_HOLD_MS = 8_000.0     # a fall is forgotten with this time constant: who gets little gives little
-                           # evidence
-RISE_ERRORS = 4.0          # the same for faster: whoever is trusted too early is flooded
+LONG_MS = 20_000.0  # evidence fades with this time constant ...
+SHORT_MS = 2_000.0  # ... and that for sudden changes with this one
+PRIOR = 8.0  # precision of 'like the others': servers' logarithms differ by 0.35
+MOST_WEIGHT = 2.5  # precision of one sample at the most: three at least make a change
+FALL_ERRORS = 3.0  # standard errors by which recent evidence must be slower to be believed alone ...
+FALL_LEAST = 6.0  # ... and its precision
+FALL_KEEP = 3.0  # precision of what was known before, where a change is believed
+FALL_HOLD_MS = 8_000.0  # a fall is forgotten with this time constant: who gets little gives little
+# evidence
+RISE_ERRORS = 4.0  # the same for faster: whoever is trusted too early is flooded
 RISE_LEAST = 12.0
 RISE_KEEP = 12.0
-CLIP = 2.5                 # of one sample: e^2.5 = 12 times the usual or a twelfth
-OBSERVER_PART = 0.4        # of all evidence on a server that one observer may bring, where there are others
-STALE_MS = 6_000.0         # an observer not heard for so long no longer counts
+CLIP = 2.5  # of one sample: e^2.5 = 12 times the usual or a twelfth
+OBSERVER_PART = 0.4  # of all evidence on a server that one observer may bring, where there are others
+STALE_MS = 6_000.0  # an observer not heard for so long no longer counts
 OBSERVERS, SERVERS = 512, 4_096
 
 
@@ -74,7 +74,7 @@
     ``precision``: of the evidence; ``changed``: it goes by the recent evidence alone."""
 
     slowness: float = 0.0
-    error: float = PRIOR ** -0.5
+    error: float = PRIOR**-0.5
     precision: float = 0.0
     changed: bool = False
 
@@ -102,8 +102,8 @@
             keep = 0.0
         if keep:
             precision = recent + keep
-            return Ability((recent_total + keep * old) / precision, precision ** -0.5, weight, True)
-    return Ability(mean, precision ** -0.5, weight)
+            return Ability((recent_total + keep * old) / precision, precision**-0.5, weight, True)
+    return Ability(mean, precision**-0.5, weight)
 
 
 @define
@@ -123,7 +123,7 @@
     life: int = 0
     own: dict[str, Sums] = field(factory=dict)
     reports: dict[str, _Report] = field(factory=dict)
-    fallen: dict[str, tuple[float, float]] = field(factory=dict)     # by server: slowness believed, and when
+    fallen: dict[str, tuple[float, float]] = field(factory=dict)  # by server: slowness believed, and when
     told: int = 0
 
     def of(self, now: float, server: str) -> Sums:
@@ -144,8 +144,13 @@
             del self.fallen[gone]
 
     def _heard(self, now: float, server: str) -> list[Sums]:
-        return [row for report in self.reports.values() if now - report.at < STALE_MS
-                for row in (report.rows.get(server),) if row is not None]
+        return [
+            row
+            for report in self.reports.values()
+            if now - report.at < STALE_MS
+            for row in (report.rows.get(server),)
+            if row is not None
+        ]
 
     def ability(self, now: float, server: str) -> Ability:
         """What all observers' evidence says of a server.
@@ -161,8 +166,13 @@
             # Held against the others' evidence alone: one's own can't raise what one may bring.
             all_long, all_recent = sum(p[0] for p in parts), sum(p[2] for p in parts)
             part = OBSERVER_PART / (1.0 - OBSERVER_PART)
-            parts = [(*_capped(p[0], p[1], part * (all_long - p[0])),
-                      *_capped(p[2], p[3], part * (all_recent - p[2]))) for p in parts]
+            parts = [
+                (
+                    *_capped(p[0], p[1], part * (all_long - p[0])),
+                    *_capped(p[2], p[3], part * (all_recent - p[2])),
+                )
+                for p in parts
+            ]
         ability = judged(*(sum(p[i] for p in parts) for i in range(4))) if parts else Ability()
         slowness, at = self.fallen.get(server, (0.0, -math.inf))
         held = slowness * math.exp(min(0.0, at - now) / FALL_HOLD_MS)
@@ -187,8 +197,10 @@
     def words(self, now: float) -> Words:
         """This observer's sums, for the others: the whole state, so the newest is enough."""
         self.told += 1
-        rows = {server: [round(v, 3) for v in sums.faded(now)] + [round(sums.in_hand, 3), sums.overdue]
-                for server, sums in self.own.items()}
+        rows = {
+            server: [round(v, 3) for v in sums.faded(now)] + [round(sums.in_hand, 3), sums.overdue]
+            for server, sums in self.own.items()
+        }
         return {"life": self.life, "count": self.told, "rows": rows}
 
     def hear(self, now: float, observer: str, words: Mapping[str, Any]) -> bool:
@@ -221,7 +233,12 @@
     weight, total, recent, recent_total, in_hand = (float(v) for v in row[:5])
     if not all(map(math.isfinite, (weight, total, recent, recent_total, in_hand))):
         raise ValueError("not finite")
-    if weight < 0 or recent < 0 or in_hand < 0 or abs(total) > CLIP * weight + 0.01 \
-            or abs(recent_total) > CLIP * recent + 0.01:
+    if (
+        weight < 0
+        or recent < 0
+        or in_hand < 0
+        or abs(total) > CLIP * weight + 0.01
+        or abs(recent_total) > CLIP * recent + 0.01
+    ):
         raise ValueError("sums that no evidence gives")
     return Sums(weight, total, recent, recent_total, in_hand, max(0, int(row[5])), now)
--- a/larklb/balancing/load.py
+++ b/larklb/balancing/load.py
@@ -14,14 +14,14 @@
 
 from larklb.balancing.errors import UnreadableError
 
-MEAN_MS = 2_000.0          # the mean load of others follows what is told with this time constant
-TRUST_STEP = 0.1           # by which trust in a server's own word follows each answer ...
-TRUST_LEAST = 0.6          # ... below which it isn't heeded
-QUEUE_MOST = 2.0           # times its slots that may wait at a server at the most
-AGAIN_MS = 200.0           # what is in hand is told again after so long, where words may be lost
-LIVE_MS = 500.0            # a word on what is in hand holds for so long
+MEAN_MS = 2_000.0  # the mean load of others follows what is told with this time constant
+TRUST_STEP = 0.1  # by which trust in a server's own word follows each answer ...
+TRUST_LEAST = 0.6  # ... below which it isn't heeded
+QUEUE_MOST = 2.0  # times its slots that may wait at a server at the most
+AGAIN_MS = 200.0  # what is in hand is told again after so long, where words may be lost
+LIVE_MS = 500.0  # a word on what is in hand holds for so long
 PEERS, SERVERS = 64, 4_096
-STEPS = 8                  # of the load, in one request, in which the wait is kept
+STEPS = 8  # of the load, in one request, in which the wait is kept
 
 
 @lru_cache(maxsize=8_192)
@@ -49,7 +49,7 @@
 class Others:
     """The load that a server has from others: as last told, and in the mean."""
 
-    mean: float = -1.0             # below 0: never told
+    mean: float = -1.0  # below 0: never told
     last: float = 0.0
     at: float = -math.inf
     trust: float = 1.0
@@ -63,8 +63,11 @@
         self.trust += TRUST_STEP * (true - self.trust)
         load = max(0.0, running + queued - mine)
         gone = max(0.0, now - self.at)
-        self.mean = load if self.mean < 0 else self.mean + (1.0 - math.exp(-max(50.0, gone) / MEAN_MS)) * (
-            load - self.mean)
+        self.mean = (
+            load
+            if self.mean < 0
+            else self.mean + (1.0 - math.exp(-max(50.0, gone) / MEAN_MS)) * (load - self.mean)
+        )
         self.last, self.at = load, now
 
     def trusted(self) -> bool:
@@ -113,7 +116,7 @@
         if known is not None and order <= known.order:
             return False
         if known is None and len(self.of) >= PEERS:
-            return False                       # those beyond count with their mean
+            return False  # those beyond count with their mean
         self._add(known.rows if known is not None else {}, -1)
         self.of[observer] = _Word(order, now, rows)
         self._add(rows, 1)
--- a/larklb/changefeed/table.py
+++ b/larklb/changefeed/table.py
@@ -13,7 +13,7 @@
 
 from attrs import define, field
 
-MOST_EVENTS = 20_000       # removals older than these are forgotten: whoever is further behind starts anew
+MOST_EVENTS = 20_000  # removals older than these are forgotten: whoever is further behind starts anew
 
 Row = dict[str, Any]
 
@@ -34,7 +34,7 @@
 
     most: int = MOST_EVENTS
     rev: int = 0
-    floor: int = 0                 # changes after this revision are all known
+    floor: int = 0  # changes after this revision are all known
     rows: dict[tuple[str, str], Event] = field(factory=dict)
     removed: deque[Event] = field(factory=deque)
 
--- a/larklb/consensus/founding.py
+++ b/larklb/consensus/founding.py
@@ -34,6 +34,7 @@
     listed: dict[str, str] = field(factory=dict)
 
     def word(self) -> dict[str, Any]:
+        """As JSON values, for the disk."""
         return {
             "nonce": self.nonce,
             "term": self.term,
--- a/larklb/consensus/group.py
+++ b/larklb/consensus/group.py
@@ -11,6 +11,7 @@
 
 
 def majority(size: int) -> int:
+    """The least number of voters, out of ``size``, that any other majority meets."""
     return size // 2 + 1
 
 
--- a/larklb/consensus/log.py
+++ b/larklb/consensus/log.py
@@ -17,6 +17,7 @@
 
 
 def encode(value: object) -> bytes:
+    """A value as compact JSON."""
     return json.dumps(value, separators=(",", ":"), ensure_ascii=False).encode("utf-8", "surrogatepass")
 
 
@@ -65,6 +66,7 @@
         return word
 
     def stored(self) -> bytes:
+        """Its durable form."""
         head = encode(
             {
                 "index": self.index,
@@ -119,6 +121,7 @@
         return self._head() | {"document": self.document}
 
     def stored(self) -> bytes:
+        """Its durable form."""
         return encode(self._head())[:-1] + b',"document":' + (self.encoded or b"null") + b"}"
 
     @classmethod
@@ -159,6 +162,7 @@
 
     @classmethod
     def founded(cls, nonce: str, voters: dict[str, str]) -> Log:
+        """The log of a new group, with nothing but its voters."""
         base = Snapshot(0, 0, dict(voters))
         return cls(nonce, base, [], base)
 
@@ -177,6 +181,7 @@
         return log
 
     def stored(self) -> bytes:
+        """Its durable form."""
         head = encode({"nonce": self.nonce, "commit": self.commit})
         return (
             head[:-1]
@@ -189,10 +194,12 @@
 
     @property
     def last(self) -> int:
+        """Index of the last entry."""
         return self.base.index + len(self.entries)
 
     @property
     def commit(self) -> int:
+        """Index up to which the log is known to be committed."""
         return self.state.index
 
     @property
@@ -217,6 +224,7 @@
         return self.entries[index - self.base.index - 1].term
 
     def after(self, index: int, most: int) -> list[Entry]:
+        """Up to ``most`` entries behind an index."""
         start = index - self.base.index
         return self.entries[start : start + most]
 
@@ -225,6 +233,7 @@
         return any(entry.kind == kind for entry in self.entries[max(0, self.commit - self.base.index) :])
 
     def append(self, entry: Entry) -> None:
+        """Adds the next entry; ConsensusError where it is another."""
         if entry.index != self.last + 1:
             raise ConsensusError("an entry was appended out of its turn")
         self.entries.append(entry)
--- a/larklb/consensus/replica.py
+++ b/larklb/consensus/replica.py
@@ -115,6 +115,7 @@
 
     @property
     def term(self) -> int:
+        """The present term."""
         return self._hard_state.term
 
     @property
@@ -149,6 +150,7 @@
 
     @property
     def is_leader(self) -> bool:
+        """Whether this replica leads, as far as it knows."""
         return self._role == "leader"
 
     @property
--- a/larklb/lab/control_faults.py
+++ b/larklb/lab/control_faults.py
@@ -91,6 +91,7 @@
     cores: int
     tolerance: int
     faults: int = 1 << 30  # of the day, the first ones
+    length: float = LENGTH_MS
     world: World = field(init=False)
     operators: Operators = field(init=False)
     servers: Servers = field(init=False)
@@ -109,12 +110,12 @@
         self._found()
         for _ in range(3):
             self.servers.start()
-        end = self.world.now + LENGTH_MS
+        end = self.world.now + self.length
         self.world.at(0.0, lambda: self._orders(end))
         self.world.at(500.0, lambda: self._reads(end))
         self.world.at(1_500.0, lambda: self._drains(end))
         self.world.at(self.world.rng.uniform(*FAULT_GAP_MS), lambda: self._faults(end))
-        self.world.run(LENGTH_MS)
+        self.world.run(self.length)
         self._finish()
 
     def _found(self) -> None:
@@ -127,7 +128,8 @@
             if machine not in late:
                 world.at(world.rng.uniform(0, 300), partial(world.start, machine))
         first = self.operators.order(0, 1)
-        world.run(FOUNDED_MS)
+        while first.acknowledged == math.inf and world.now < FOUNDED_MS:
+            world.run(500.0)
         world.bootstrap = False
         if first.acknowledged == math.inf:
             raise BrokenError("no group has been founded")
@@ -460,6 +462,7 @@
     seed: int
     cores: int
     guard: str = ""
+    length: float = LENGTH_MS
 
     @property
     def tolerance(self) -> int:
@@ -488,7 +491,7 @@
 def played(task: Task, faults: int = 1 << 30) -> tuple[Outcome, Day]:
     """Plays a day, or its first faults."""
     with without(task.guard) if task.guard else nullcontext():
-        day = Day(task.scenario, task.seed, task.cores, task.tolerance, faults)
+        day = Day(task.scenario, task.seed, task.cores, task.tolerance, faults, task.length)
         try:
             day.play()
         except BrokenError as error:
--- a/larklb/lab/control_world.py
+++ b/larklb/lab/control_world.py
@@ -28,7 +28,7 @@
 CORE_TICK_MS, TICK_MS = 50.0, 100.0
 WIRE_MS = (0.2, 2.0)  # one way
 LATE_MS = (20.0, 1500.0)  # of a word that is overtaken
-SYNC_MS = (2.0, 8.0)  # of a save on a disk that is well
+SYNC_MS = ((2.0, 8.0), (2.0, 8.0), (15.0, 40.0))  # of a save on a disk that is well
 SLOW_SYNC_MS = (80.0, 250.0)
 MOST_BUFFERED = 2_000  # words that wait at a machine that stands still
 ZONES = ("north", "south", "east")
@@ -83,6 +83,7 @@
 
     def __init__(self, seed: int, cores: int = 3, tolerance: int = 1, limiters: int = 2) -> None:
         self.rng = random.Random(seed)
+        self.sync_ms = self.rng.choice(SYNC_MS)
         self.tolerance = tolerance
         self.bounds = Bounds()
         self.now, self._count = 0.0, 0
@@ -239,7 +240,7 @@
 
     def _save(self, machine: Machine, life: int, ready: Ready) -> None:
         machine.saving = ready
-        spread = SLOW_SYNC_MS if machine.disk_mode == "slow" else SYNC_MS
+        spread = SLOW_SYNC_MS if machine.disk_mode == "slow" else self.sync_ms
         self.at(self.rng.uniform(*spread), lambda: self._saved(machine, life, ready))
 
     def _saved(self, machine: Machine, life: int, ready: Ready) -> None:
--- a/larklb/schema/configuration.py
+++ b/larklb/schema/configuration.py
@@ -174,7 +174,8 @@
     prefix: str = field(metadata=wire("prefix", _prefix))
     # What may be repeated is told by the operator alone: a route that doesn't say is kept from running twice.
     route_type: Literal["safe", "unsafe"] = field(
-        default="unsafe", metadata=wire("routeType", choice("safe", "unsafe")))
+        default="unsafe", metadata=wire("routeType", choice("safe", "unsafe"))
+    )
     timeout_ms: float = field(default=TIMEOUT_MS, metadata=wire("timeoutMs"))
     setpoint_ms: float = field(default=SETPOINT_MS, metadata=wire("setpointMs"))
     precedence: int = 0
@@ -328,9 +329,12 @@
         raise UnreadableError("no JSON object")
     level: list[Any] = [document]
     for _ in range(DEPTH_MAX):
-        level = [child for parent in level
-                 for child in (parent.values() if isinstance(parent, dict) else parent)
-                 if isinstance(child, dict | list)]
+        level = [
+            child
+            for parent in level
+            for child in (parent.values() if isinstance(parent, dict) else parent)
+            if isinstance(child, dict | list)
+        ]
         if not level:
             return document
     raise UnreadableError(f"nested more than {DEPTH_MAX} deep")
@@ -353,8 +357,10 @@
 
 
 def _all(kind: type[ItemT], document: Document, key: str, problems: list[str]) -> list[ItemT]:
-    found = (read(kind, value, f"{key}[{i}]", problems)
-             for i, value in enumerate(_list(document, key, key, problems)))
+    found = (
+        read(kind, value, f"{key}[{i}]", problems)
+        for i, value in enumerate(_list(document, key, key, problems))
+    )
     return [item for item in found if item is not None]
 
 
@@ -385,24 +391,35 @@
             names.append(route.name)
             place = (entry["host"].lower(), route.prefix)
             if place in taken:
-                problems.append(problem(f"{at}.prefix", route.prefix,
-                                        f"one route a prefix: {taken[place]} has it"))
+                problems.append(
+                    problem(f"{at}.prefix", route.prefix, f"one route a prefix: {taken[place]} has it")
+                )
             taken.setdefault(place, route.name)
             # Without a time-out of the operator's there is nothing that the set point could exceed.
             excess = route.setpoint_ms - route.timeout_ms
             if excess >= SETPOINT_EXCESS_MS and value.get("timeoutMs") is not None:
-                problems.append(problem(f"{at}.setpointMs", route.setpoint_ms,
-                                        "less than timeoutMs and a minute"))
-            named = [(f"{at}.distribution[{k}].target", share.target)
-                     for k, share in enumerate(route.distribution)]
+                problems.append(
+                    problem(f"{at}.setpointMs", route.setpoint_ms, "less than timeoutMs and a minute")
+                )
+            named = [
+                (f"{at}.distribution[{k}].target", share.target) for k, share in enumerate(route.distribution)
+            ]
             if route.target is not None:
                 named.append((f"{at}.target", route.target))
-            problems += [problem(spot, name, "a service of this configuration") for spot, name in named
-                         if services is not None and name not in services]
+            problems += [
+                problem(spot, name, "a service of this configuration")
+                for spot, name in named
+                if services is not None and name not in services
+            ]
             if not targets(route):
                 if route.distribution:
-                    problems.append(problem(f"{at}.distribution", value["distribution"],
-                                            "a gain above 0: nobody could serve this route"))
+                    problems.append(
+                        problem(
+                            f"{at}.distribution",
+                            value["distribution"],
+                            "a gain above 0: nobody could serve this route",
+                        )
+                    )
                 else:
                     problems.append(problem(f"{at}.target", None, "a target or a distribution"))
         hosts.append(Host(host=entry["host"], paths=routes))
@@ -420,8 +437,13 @@
         for key in tenant.keys:
             holder = holders.setdefault(key, tenant.name)
             if holder != tenant.name:
-                problems.append(problem("tenants.keys", f"a key of {holder} and {tenant.name}",
-                                        "keys that no other tenant has"))
+                problems.append(
+                    problem(
+                        "tenants.keys",
+                        f"a key of {holder} and {tenant.name}",
+                        "keys that no other tenant has",
+                    )
+                )
     return tenants
 
 
@@ -477,8 +499,11 @@
         return {}
     if not isinstance(section, dict):
         raise InvalidError([problem(key, section, "an object")])
-    unknown = [problem(f"{key}.{name}", value, f"one of {', '.join(known)}")
-               for name, value in section.items() if name not in known]
+    unknown = [
+        problem(f"{key}.{name}", value, f"one of {', '.join(known)}")
+        for name, value in section.items()
+        if name not in known
+    ]
     if unknown:
         raise InvalidError(unknown)
     return section
--- /dev/null
+++ b/tests/test_control_faults.py
@@ -0,0 +1,121 @@
+"""Short days of the control side under faults, guards taken out, and the checker by itself."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from larklb.lab.control_breaks import BREAKS
+from larklb.lab.control_faults import SCENARIOS, Task, main, played, tasks
+from larklb.lab.control_history import BrokenError, History, Order, Read
+
+SHORT_MS = 5_000.0
+QUICKLY_FOUND = ("history-of-few", "group-stays-as-founded", "repeats-not-known", "base-not-compared")
+
+
+@pytest.mark.parametrize("part", range(12))
+def test_short_days_break_nothing(part: int) -> None:
+    for task in tasks(9, 10_000 + 9 * part):
+        result, day = played(evolve(task, length=SHORT_MS))
+        assert not result.why, (task, day.world.log)
+
+
+@pytest.mark.parametrize("guard", QUICKLY_FOUND)
+def test_a_guard_that_is_out_is_found(guard: str) -> None:
+    scenario, cores = BREAKS[guard].scenario, BREAKS[guard].cores or 3
+    assert any(played(Task(scenario, seed, cores, guard))[0].why for seed in range(12))
+
+
+def test_the_same_seed_is_the_same_day() -> None:
+    one, other = (played(Task("mixed", 7, 3, length=SHORT_MS))[1] for _ in range(2))
+    assert one.world.log == other.world.log and one.operators.sent == other.operators.sent
+
+
+def test_the_command(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["--days", "1", "--jobs", "1", "--scenario", "races", "--core", "3"]) == 0
+    assert "1 days of 1 scenarios: nothing broken" in capsys.readouterr().out
+    assert set(SCENARIOS) >= {each.scenario for each in BREAKS.values()} and len(BREAKS) >= 12
+
+
+# The checker -------------------------------------------------------------------------------------
+
+
+def history(*orders: Order) -> History:
+    return History({order.name: order for order in orders})
+
+
+def order(
+    number: int,
+    base: int,
+    version: int,
+    begin: float,
+    acknowledged: float = math.inf,
+    refused: float = math.inf,
+) -> Order:
+    return Order(f"order {number}", base, version, "", begin, acknowledged, refused)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0.1, 5), st.floats(0.1, 5), st.sampled_from(["ack", "lost", "race"]), st.booleans()
+        ),
+        max_size=12,
+    )
+)
+@settings(max_examples=60, deadline=None, derandomize=True, database=None)
+def test_what_a_plain_register_answers_is_accepted(steps: list[tuple[float, float, str, bool]]) -> None:
+    """Calls one after the other at a register that has each take effect in the middle of its call."""
+    told, version, name, now, number = History(), 0, "", 0.0, 0
+    for before, after, kind, read in steps:
+        number += 1
+        one = order(number, version, version + 1, now)
+        told.orders[one.name] = one
+        if kind == "race":
+            number += 1
+            other = order(number, version, version + 1, now, refused=now + before + after)
+            told.orders[other.name] = other
+        now += before
+        version, name = version + 1, one.name
+        if read:
+            told.reads.append(Read(version, name, now - before / 2, now + after / 2))
+        now += after
+        if kind != "lost":
+            one.acknowledged = now
+    told.check(Read(version, name, now, now + 1))
+
+
+@pytest.mark.parametrize(
+    ("told", "last", "why"),
+    [
+        (history(order(1, 0, 1, 0, 5)), Read(0, "", 9, 10), "is lost"),
+        (history(order(1, 0, 1, 0, refused=5)), Read(1, "order 1", 9, 10), "was refused, and is in force"),
+        (
+            history(order(1, 0, 1, 0, 5), order(2, 1, 2, 6, refused=8)),
+            Read(1, "order 1", 9, 10),
+            "current all the while",
+        ),
+        (history(order(1, 0, 1, 0, 5), order(2, 1, 2, 6, 8)), Read(2, "order 2", 9, 10), ""),
+    ],
+)
+def test_what_no_register_answers_is_told(told: History, last: Read, why: str) -> None:
+    if not why:
+        told.check(last)
+        told.reads.append(Read(1, "order 1", 8.5, 8.9))
+        why = "no moment"
+    with pytest.raises(BrokenError, match=why):
+        told.check(last)
+
+
+def test_two_on_one_version_and_changed_answers_are_told_at_once() -> None:
+    one, other = order(1, 0, 1, 0), order(2, 0, 2, 0)
+    told = history(one, other)
+    told.acknowledge(one, 1.0)
+    with pytest.raises(BrokenError):
+        told.acknowledge(other, 2.0)
+    with pytest.raises(BrokenError):
+        told.refuse(one, 2.0)
