--- a/larklb/cli/system_disk.py
+++ b/larklb/cli/system_disk.py
@@ -107,7 +107,7 @@
             if value is None or BALLOT not in before:
                 raise UnusableError(f"{folder}: no votes are left here: empty the folder, and the disk joins "
                                     "its group as a newcomer")
-            if wanted.nonce != HardState.read(decode(before[BALLOT])).nonce:
+            if wanted.group_id != HardState.read(decode(before[BALLOT])).group_id:
                 raise UnusableError(f"{folder}: log-{generation}: is of another group than the votes here")
             _replica(folder, {**before, LOG: value})
             now, then = _held(before[LOG]), _version(_newest(wanted))
--- a/larklb/consensus/log.py
+++ b/larklb/consensus/log.py
@@ -155,16 +155,16 @@
 class Log:
     """``base`` is the snapshot, ``entries`` follow it, ``state`` is base with all that is committed."""
 
-    nonce: str = ""
+    group_id: str = ""
     base: Snapshot = field(factory=Snapshot)
     entries: list[Entry] = field(factory=list)
     state: Snapshot = field(factory=Snapshot)
 
     @classmethod
-    def founded(cls, nonce: str, voters: dict[str, str]) -> Log:
+    def founded(cls, group_id: str, voters: dict[str, str]) -> Log:
         """The log of a new group, with nothing but its voters."""
         base = Snapshot(0, 0, dict(voters))
-        return cls(nonce, base, [], base)
+        return cls(group_id, base, [], base)
 
     @classmethod
     def read(cls, value: bytes) -> Log:
@@ -182,7 +182,7 @@
 
     def stored(self) -> bytes:
         """Its durable form."""
-        head = encode({"nonce": self.nonce, "commit": self.commit})
+        head = encode({"nonce": self.group_id, "commit": self.commit})
         return (
             head[:-1]
             + b',"snapshot":'
--- a/larklb/consensus/replica.py
+++ b/larklb/consensus/replica.py
@@ -17,17 +17,34 @@
 
 from larklb.consensus.calls import FULL, LATE, LEFT, UNKNOWN, Calls
 from larklb.consensus.errors import ConsensusError, MalformedError, RefusedError
-from larklb.consensus.founding import HardState, new_nonce
+from larklb.consensus.founding import HardState, new_group_id
 from larklb.consensus.group import Liveness, majority, next_voters
 from larklb.consensus.history import Repeat
 from larklb.consensus.log import Entry, Log, Snapshot, decode, encode
+from larklb.consensus.messages import (
+    MOST_ENTRIES,
+    AppendEntries,
+    AppendReply,
+    Founding,
+    FoundingReply,
+    InstallSnapshot,
+    Message,
+    PreVote,
+    PreVoteReply,
+    Stand,
+    VoteReply,
+    VoteRequest,
+    decode_message,
+    encode_message,
+)
 from larklb.consensus.timing import Timing
-from larklb.consensus.words import Answer, Call, Ready, flag, mapping, names, number, pair, string
+from larklb.consensus.words import Answer, Call, Ready
 
 __all__ = ["Answer", "Call", "ConsensusError", "Ready", "RefusedError", "Replica"]
 
 log = logging.getLogger(__name__)
 
+OF_ANY_GROUP = (AppendEntries, InstallSnapshot, Founding, FoundingReply)  # also from another one
 MOST_ROUNDS = 64  # whose times of sending are remembered
 RETRY_MS = 200.0  # until a failed save is tried again
 RESEND_MS = 300.0  # in which content may be on its way though a shorter message overtook it, ...
@@ -35,7 +52,6 @@
 FOUND_MS = 300.0  # between two askings of a founding
 PROPOSER_MS = 5000.0  # of silence after which another may propose in the place of a founding's proposer
 LEARNER_MS = 1000.0  # since a newcomer's last word in which it counts as keeping up
-BATCH = 8  # entries in a message
 MOST_INBOX = 256  # messages kept while a save is under way
 MOST_OUTBOX = 512
 MOST_PEERS = 16  # newcomers that are kept up at the same time
@@ -229,14 +245,14 @@
         ballot = self._hard_state
         if ballot.bound or self._saving_since is not None:
             return
-        if ballot.nonce and (
+        if ballot.group_id and (
             ballot.proposer == self.disk or self._liveness.silence(self._now, ballot.proposer) < PROPOSER_MS
         ):
             return
         listed = {**cores, self.disk: self.node}
-        nonce = new_nonce(self._rng, ballot.nonce)
-        if self._enough(listed) and ballot.may_accept(self.disk, nonce, listed):
-            self._accept(nonce, listed, self.disk)
+        group_id = new_group_id(self._rng, ballot.group_id)
+        if self._enough(listed) and ballot.may_accept(self.disk, group_id, listed):
+            self._accept(group_id, listed, self.disk)
 
     def hand_over(self, now: float) -> None:
         """This machine is about to end: it stands for no election any more, and a leader has the voter whose
@@ -254,7 +270,7 @@
             and self._now - peer.heard < self._timing.quorum
         ]
         if able:
-            self._send(min(able), "stand")
+            self._send(min(able), Stand)
 
     def ready(self) -> Ready | None:
         """What is to be done now, or None. While a save is under way there may be answers, nothing else: no
@@ -319,34 +335,31 @@
 
     # Messages
 
-    def _send(self, receiver: str, kind: str, **fields: Any) -> None:
-        head = {"kind": kind, "disk": self.disk, "nonce": self._hard_state.nonce, "term": self.term}
-        self._outbox.append((receiver, head | fields))
-
-    def _take(self, sender: str, message: dict[str, Any]) -> None:
-        handlers: Mapping[str, Callable[[str, dict[str, Any]], None]] = {
-            "append_entries": self._on_append_entries,
-            "snapshot": self._on_snapshot,
-            "append_reply": self._on_append_reply,
-            "pre_vote": self._on_pre_vote,
-            "pre_vote_reply": self._on_pre_vote_reply,
-            "vote_request": self._on_vote_request,
-            "vote_reply": self._on_vote_reply,
-            "stand": self._on_stand,
-            "founding": self._on_founding,
-            "founding_reply": self._on_founding_reply,
+    def _send(self, receiver: str, kind: type[Message], **fields: Any) -> None:
+        message = kind(disk=self.disk, group_id=self._hard_state.group_id, term=self.term, **fields)
+        self._outbox.append((receiver, encode_message(message)))
+
+    def _take(self, sender: str, source: dict[str, Any]) -> None:
+        handlers: dict[type[Message], Callable[[str, Any], None]] = {
+            AppendEntries: self._on_append_entries,
+            InstallSnapshot: self._on_snapshot,
+            AppendReply: self._on_append_reply,
+            PreVote: self._on_pre_vote,
+            PreVoteReply: self._on_pre_vote_reply,
+            VoteRequest: self._on_vote_request,
+            VoteReply: self._on_vote_reply,
+            Stand: self._on_stand,
+            Founding: self._on_founding,
+            FoundingReply: self._on_founding_reply,
         }
         try:
-            kind = string(message, "kind")
-            if kind not in handlers:
-                raise MalformedError(f"no message of the kind {kind}")
-            if string(message, "disk") != sender:
-                # By its address alone, a word of the disk that was there before would count for the new.
+            message = decode_message(source)
+            if message.disk != sender:
+                # By its address alone, a message of the disk that was there before would count for the new.
                 raise MalformedError("it is another disk's")
-            own = string(message, "nonce") == self._hard_state.nonce
-            if own or kind in ("append_entries", "snapshot", "founding", "founding_reply"):
-                handlers[kind](sender, message)
-            elif kind == "pre_vote" and self._hard_state.bound:
+            if message.group_id == self._hard_state.group_id or isinstance(message, OF_ANY_GROUP):
+                handlers[type(message)](sender, message)
+            elif isinstance(message, PreVote) and self._hard_state.bound:
                 self._send_founding_reply(sender)
         except MalformedError as error:
             log.warning("consensus: ignored a message from %s: %s", sender, error)
@@ -399,7 +412,7 @@
             return
         self._role, self._votes = "pre_candidate", {self.disk}
         for disk in self._others():
-            self._send(disk, "pre_vote", proposed=self.term + 1, last=list(self._log.end))
+            self._send(disk, PreVote, proposed=self.term + 1, last=self._log.end)
         self._count()
 
     def _count(self) -> None:
@@ -417,12 +430,12 @@
         self._role, self._votes = "candidate", {self.disk}
         self._deadline = self._draw()
         for disk in self._others():
-            self._send(disk, "vote_request", last=list(self._log.end), handed=handed)
+            self._send(disk, VoteRequest, last=self._log.end, handed=handed)
         self._count()
 
-    def _on_stand(self, sender: str, message: dict[str, Any]) -> None:
+    def _on_stand(self, sender: str, message: Stand) -> None:
         """The leader leaves: an election at once, which followers that still hear it don't refuse."""
-        if number(message, "term") == self.term and sender == self.leader and self._may_stand():
+        if message.term == self.term and sender == self.leader and self._may_stand():
             self._stand(True)
 
     def _others(self) -> list[str]:
@@ -432,57 +445,59 @@
         """Whether a leader was heard so lately that one who can't hear it mustn't disturb."""
         return self.is_leader or self._now - self._sticky < self._timing.election[0]
 
-    def _on_pre_vote(self, sender: str, message: dict[str, Any]) -> None:
-        proposed, last = number(message, "proposed"), pair(message, "last")
-        if self._may_vote():
-            yes = proposed > self.term and last >= self._log.end and not self._led() and self._failed is None
-            self._send(sender, "pre_vote_reply", proposed=proposed, yes=yes)
-
-    def _on_pre_vote_reply(self, sender: str, message: dict[str, Any]) -> None:
-        term, proposed, yes = number(message, "term"), number(message, "proposed"), flag(message, "yes")
-        if not yes and term > self.term:
-            self._enter(term)
-        elif yes and self._role == "pre_candidate" and proposed == self.term + 1:
+    def _on_pre_vote(self, sender: str, message: PreVote) -> None:
+        if not self._may_vote():
+            return
+        newer = message.proposed > self.term and message.last >= self._log.end
+        yes = newer and not self._led() and self._failed is None
+        self._send(sender, PreVoteReply, proposed=message.proposed, yes=yes)
+
+    def _on_pre_vote_reply(self, sender: str, message: PreVoteReply) -> None:
+        if not message.yes and message.term > self.term:
+            self._enter(message.term)
+        elif message.yes and self._role == "pre_candidate" and message.proposed == self.term + 1:
             self._votes.add(sender)
             self._count()
 
-    def _on_vote_request(self, sender: str, message: dict[str, Any]) -> None:
-        term, last, handed = number(message, "term"), pair(message, "last"), flag(message, "handed")
-        if not self._may_vote() or self._led() and not handed:
+    def _on_vote_request(self, sender: str, message: VoteRequest) -> None:
+        if not self._may_vote() or self._led() and not message.handed:
             return
-        if term > self.term:
-            self._enter(term)
-        yes = term == self.term and self._hard_state.vote in ("", sender) and last >= self._log.end
+        if message.term > self.term:
+            self._enter(message.term)
+        free = message.term == self.term and self._hard_state.vote in ("", sender)
+        yes = free and message.last >= self._log.end
         if yes:
             self._hard_state.vote, self._hard_state.bound = sender, True
             self._dirty.add("ballot")
             self._deadline = self._draw()
-        self._send(sender, "vote_reply", yes=yes)
+        self._send(sender, VoteReply, yes=yes)
 
-    def _on_vote_reply(self, sender: str, message: dict[str, Any]) -> None:
-        term, yes = number(message, "term"), flag(message, "yes")
-        if term > self.term:
-            self._enter(term)
-        elif term == self.term and yes and self._role == "candidate":
+    def _on_vote_reply(self, sender: str, message: VoteReply) -> None:
+        if message.term > self.term:
+            self._enter(message.term)
+        elif message.term < self.term or self._role != "candidate":
+            return
+        elif message.yes:
             self._votes.add(sender)
             self._count()
-        elif term == self.term and self._role == "candidate":
+        else:
             self._deadline = min(self._deadline, self._now + self._rng.uniform(*self._timing.split))
 
     # Following
 
-    def _heed(self, sender: str, nonce: str, term: int) -> bool:
-        """Whether this is the word of the present leader; its term and group are taken up."""
-        if nonce != self._hard_state.nonce:
-            if self._hard_state.bound or not nonce:
+    def _heed(self, sender: str, message: AppendEntries | InstallSnapshot) -> bool:
+        """Whether this is a message of the present leader; its term and group are taken up."""
+        group_id, term = message.group_id, message.term
+        if group_id != self._hard_state.group_id:
+            if self._hard_state.bound or not group_id:
                 return False
             self._outbox.clear()
-            self._hard_state = HardState(nonce)
-            self._log = Log(nonce)
+            self._hard_state = HardState(group_id)
+            self._log = Log(group_id)
             self._durable = -1
             self._dirty |= {"ballot", "log"}
         if term < self.term:
-            self._send(sender, "append_reply", ok=False, match=-1, tried=-1, round=0)
+            self._send(sender, AppendReply, ok=False, match=-1, tried=-1, round=0)
             return False
         if term > self.term:
             self._enter(term)
@@ -495,43 +510,36 @@
         self._sticky, self._deadline = self._now, self._draw()
         return True
 
-    def _on_append_entries(self, sender: str, message: dict[str, Any]) -> None:
-        nonce, term = string(message, "nonce"), number(message, "term")
-        prev, prev_term = pair(message, "prev")
-        commit, round_ = number(message, "commit"), number(message, "round")
-        raw = message.get("entries")
-        if not isinstance(raw, list) or len(raw) > BATCH:
-            raise MalformedError("entries is no short list")
-        entries = [Entry.read(entry) for entry in raw]
+    def _on_append_entries(self, sender: str, message: AppendEntries) -> None:
+        prev, prev_term = message.prev
+        entries = [Entry.read(entry) for entry in message.entries]
         if [entry.index for entry in entries] != list(range(prev + 1, prev + 1 + len(entries))):
             raise MalformedError("entries don't follow each other")
-        if not self._heed(sender, nonce, term):
+        if not self._heed(sender, message):
             return
         mine = self._log
         if prev > mine.last or (prev >= mine.base.index and mine.term_at(prev) != prev_term):
-            self._send(
-                sender, "append_reply", ok=False, match=min(mine.last, prev - 1), tried=prev, round=round_
-            )
+            match = min(mine.last, prev - 1)
+            self._send(sender, AppendReply, ok=False, match=match, tried=prev, round=message.round)
             return
         if mine.merge(prev, entries):
             self._durable = min(self._durable, max(prev, mine.commit))
             self._dirty.add("log")
         match = prev + len(entries)
-        mine.advance(min(commit, match))
-        if commit <= match and mine.term_at(commit) == term:
+        mine.advance(min(message.commit, match))
+        if message.commit <= match and mine.term_at(message.commit) == message.term:
             # A new leader may know less of what is committed than its log holds, until one entry is its own.
             self._confirmed, self._current_at = True, self._now
-        self._send(sender, "append_reply", ok=True, match=match, tried=prev, round=round_)
+        self._send(sender, AppendReply, ok=True, match=match, tried=prev, round=message.round)
 
-    def _on_snapshot(self, sender: str, message: dict[str, Any]) -> None:
-        nonce, term, round_ = string(message, "nonce"), number(message, "term"), number(message, "round")
-        snapshot = Snapshot.read(mapping(message, "snapshot"))
-        if not self._heed(sender, nonce, term):
+    def _on_snapshot(self, sender: str, message: InstallSnapshot) -> None:
+        snapshot = Snapshot.read(message.snapshot)
+        if not self._heed(sender, message):
             return
         if self._log.install(snapshot):
             self._durable = min(self._durable, snapshot.index - 1)
             self._dirty.add("log")
-        self._send(sender, "append_reply", ok=True, match=snapshot.index, tried=-1, round=round_)
+        self._send(sender, AppendReply, ok=True, match=snapshot.index, tried=-1, round=message.round)
 
     # Leading
 
@@ -608,38 +616,37 @@
         if peer.next <= mine.base.index:
             peer.behind, peer.next = -1, mine.base.index + 1
             peer.due = self._now + RESEND_MS + len(mine.base.encoded) / RESEND_BYTES
-            self._send(disk, "snapshot", snapshot=mine.base.word(), round=self._round)
+            self._send(disk, InstallSnapshot, snapshot=mine.base.word(), round=self._round)
             return
-        prev, entries = peer.next - 1, mine.after(peer.next - 1, BATCH)
+        prev, entries = peer.next - 1, mine.after(peer.next - 1, MOST_ENTRIES)
         if entries:
             peer.behind, peer.next = prev, peer.next + len(entries)
             peer.due = self._now + RESEND_MS + sum(len(entry.encoded) for entry in entries) / RESEND_BYTES
         self._send(
             disk,
-            "append_entries",
-            prev=[prev, mine.term_at(prev)],
+            AppendEntries,
+            prev=(prev, mine.term_at(prev)),
             commit=mine.commit,
             round=self._round,
             entries=[entry.word() for entry in entries],
         )
 
-    def _on_append_reply(self, sender: str, message: dict[str, Any]) -> None:
-        term, ok = number(message, "term"), flag(message, "ok")
-        match, round_, tried = number(message, "match"), number(message, "round"), number(message, "tried")
-        if term > self.term:
-            self._enter(term)
+    def _on_append_reply(self, sender: str, message: AppendReply) -> None:
+        if message.term > self.term:
+            self._enter(message.term)
             return
         peer = self._peers.get(sender)
-        if term < self.term or not self.is_leader or peer is None:
+        if message.term < self.term or not self.is_leader or peer is None:
             return
-        if match > self._log.last or round_ > self._round:
+        ok, match = message.ok, message.match
+        if match > self._log.last or message.round > self._round:
             raise MalformedError("it answers what was never sent")
         peer.heard = self._now
-        peer.round = max(peer.round, round_)
+        peer.round = max(peer.round, message.round)
         if ok:
             peer.match = max(peer.match, match)
             peer.next = max(peer.next, peer.match + 1)
-        elif match + 1 < peer.next and (tried <= peer.behind or self._now >= peer.due):
+        elif match + 1 < peer.next and (message.tried <= peer.behind or self._now >= peer.due):
             # Else a heartbeat has overtaken the content that it builds on: no reason to send that twice.
             peer.next = max(peer.match, match) + 1
             self._push_to(sender, peer)
@@ -747,9 +754,9 @@
         that at most one comes about."""
         return len(listed) >= max(1, 2 * self._tolerance)
 
-    def _accept(self, nonce: str, listed: dict[str, str], proposer: str) -> None:
-        self._hard_state = HardState(nonce, proposer=proposer, listed=listed)
-        self._log = Log.founded(nonce, listed)
+    def _accept(self, group_id: str, listed: dict[str, str], proposer: str) -> None:
+        self._hard_state = HardState(group_id, proposer=proposer, listed=listed)
+        self._log = Log.founded(group_id, listed)
         self._durable = -1
         self._accepted, self._apart = {self.disk}, set()
         self._asked = float("-inf")
@@ -764,32 +771,31 @@
         self._accepted.add(self.disk)
         for disk in ballot.listed:
             if disk not in self._accepted:
-                self._send(disk, "founding", listed=ballot.listed)
-
-    def _on_founding(self, sender: str, message: dict[str, Any]) -> None:
-        nonce, listed = string(message, "nonce"), names(message, "listed")
-        may = self._enough(listed) and self._hard_state.may_accept(self.disk, nonce, listed)
-        if nonce and nonce != self._hard_state.nonce and may:
-            self._accept(nonce, listed, sender)
-        if self._hard_state.nonce:
+                self._send(disk, Founding, listed=ballot.listed)
+
+    def _on_founding(self, sender: str, message: Founding) -> None:
+        group_id, listed = message.group_id, message.listed
+        may = self._enough(listed) and self._hard_state.may_accept(self.disk, group_id, listed)
+        if group_id and group_id != self._hard_state.group_id and may:
+            self._accept(group_id, listed, sender)
+        if self._hard_state.group_id:
             self._send_founding_reply(sender)
 
     def _send_founding_reply(self, receiver: str) -> None:
         ballot = self._hard_state
         self._send(
             receiver,
-            "founding_reply",
+            FoundingReply,
             listed=ballot.listed,
             proposer=ballot.proposer,
             bound=ballot.bound,
             led=self._log.last > 0,
         )
 
-    def _on_founding_reply(self, sender: str, message: dict[str, Any]) -> None:
-        nonce, listed = string(message, "nonce"), names(message, "listed")
-        proposer, bound, led = string(message, "proposer"), flag(message, "bound"), flag(message, "led")
+    def _on_founding_reply(self, sender: str, message: FoundingReply) -> None:
+        group_id, listed = message.group_id, message.listed
         ballot = self._hard_state
-        if led and nonce != ballot.nonce and sender in ballot.listed:
+        if message.led and group_id != ballot.group_id and sender in ballot.listed:
             self._apart.add(sender)
             if ballot.bound and len(ballot.listed) - len(self._apart) < majority(len(ballot.listed)):
                 # So many are another group's for good that ours, in which we have voted, never gets a leader.
@@ -797,16 +803,16 @@
                 self._dirty.add("ballot")
         if ballot.bound or ballot.proposer != self.disk or sender not in ballot.listed:
             return
-        if nonce == ballot.nonce:
+        if group_id == ballot.group_id:
             self._accepted.add(sender)
             if self._accepted >= set(ballot.listed) and self._role == "follower":
                 self._start_pre_vote()
-        elif bound:
+        elif message.bound:
             # There is a group: this founding is over, its leader will take us in.
             ballot.proposer = ""
             self._dirty.add("ballot")
-        elif ballot.may_accept(self.disk, nonce, listed):
-            self._accept(nonce, listed, proposer)
+        elif ballot.may_accept(self.disk, group_id, listed):
+            self._accept(group_id, listed, message.proposer)
 
 
 def _version(document: dict[str, Any] | None) -> int:
@@ -821,8 +827,8 @@
         return HardState(), Log()
     ballot = HardState.read(decode(stored["ballot"]))
     kept = Log.read(stored["log"]) if "log" in stored else Log()
-    if kept.nonce != ballot.nonce:
-        kept = Log(ballot.nonce) if ballot.bound else Log.founded(ballot.nonce, ballot.listed)
+    if kept.group_id != ballot.group_id:
+        kept = Log(ballot.group_id) if ballot.bound else Log.founded(ballot.group_id, ballot.listed)
     if kept.end[0] > ballot.term:
         ballot.term, ballot.vote = kept.end[0], ""
     return ballot, kept
--- a/larklb/consensus/words.py
+++ b/larklb/consensus/words.py
@@ -70,14 +70,6 @@
     return value
 
 
-def pair(source: dict[str, Any], name: str) -> tuple[int, int]:
-    """A field of two integers (index and term). Raises MalformedError."""
-    value = source.get(name)
-    if not isinstance(value, list) or len(value) != 2 or not all(type(part) is int for part in value):
-        raise MalformedError(f"{name} is no pair of integers")
-    return value[0], value[1]
-
-
 def names(source: dict[str, Any], name: str) -> dict[str, str]:
     """A field that maps disk ids to node names. Raises MalformedError."""
     value = source.get(name)
--- a/larklb/lab/check_consensus.py
+++ b/larklb/lab/check_consensus.py
@@ -41,12 +41,13 @@
 from typing import Any
 
 import attrs
+import msgspec
 from attrs import define, evolve, field, frozen
 
-from larklb.consensus.founding import HardState
 from larklb.consensus.group import HEARD_MS, SILENT_MS
 from larklb.consensus.history import Repeat
 from larklb.consensus.log import Log
+from larklb.consensus.messages import AppendEntries, InstallSnapshot, VoteRequest
 from larklb.consensus.replica import FOUND_MS, LEARNER_MS, RETRY_MS, Call, Ready, Replica
 from larklb.consensus.timing import Timing
 
@@ -87,7 +88,7 @@
 
 
 class Pinned(random.Random):
-    """Delays are the longest; a nonce is always the same."""
+    """Delays are the longest; a group_id is always the same."""
 
     def uniform(self, a: float, b: float) -> float:
         return b
@@ -788,8 +789,8 @@
 class Fickle(CoarseRounds):
     """Votes for all who ask in a term."""
 
-    def _on_vote_request(self, sender: str, message: dict[str, Any]) -> None:
-        if message["term"] == self.term:
+    def _on_vote_request(self, sender: str, message: VoteRequest) -> None:
+        if message.term == self.term:
             self._hard_state.vote = ""
         super()._on_vote_request(sender, message)
 
@@ -806,17 +807,18 @@
 class Backward(CoarseRounds):
     """Takes a snapshot that is older than what it has."""
 
-    def _on_snapshot(self, sender: str, message: dict[str, Any]) -> None:
-        if message["term"] == self.term and message["snapshot"]["index"] < self._log.commit:
-            self._log = Log(self._hard_state.nonce)
+    def _on_snapshot(self, sender: str, message: InstallSnapshot) -> None:
+        if message.term == self.term and message.snapshot["index"] < self._log.commit:
+            self._log = Log(self._hard_state.group_id)
         super()._on_snapshot(sender, message)
 
 
 class Obedient(CoarseRounds):
     """Follows leaders of older terms."""
 
-    def _heed(self, sender: str, nonce: str, term: int) -> bool:
-        return super()._heed(sender, nonce, max(term, self.term))
+    def _heed(self, sender: str, message: AppendEntries | InstallSnapshot) -> bool:
+        newest = max(message.term, self.term)
+        return super()._heed(sender, msgspec.structs.replace(message, term=newest))
 
 
 class Blank(CoarseRounds):
@@ -832,7 +834,7 @@
     def __init__(self, *args: Any, **named: Any) -> None:
         super().__init__(*args, **named)
         kept = self._hard_state
-        self._hard_state = HardState(kept.nonce, self._log.end[0], "", kept.bound, kept.proposer, kept.listed)
+        self._hard_state = evolve(kept, term=self._log.end[0], vote="")
 
 
 class Hopeful(CoarseRounds):
--- a/larklb/lab/control_breaks.py
+++ b/larklb/lab/control_breaks.py
@@ -6,13 +6,14 @@
 from contextlib import contextmanager
 from typing import Any
 
-from attrs import define
+import msgspec
+from attrs import define, evolve
 
 from larklb.consensus import group, replica
 from larklb.consensus.calls import Calls
-from larklb.consensus.founding import HardState
 from larklb.consensus.history import History, Repeat
 from larklb.consensus.log import Log
+from larklb.consensus.messages import PreVote, VoteRequest
 from larklb.consensus.replica import Replica
 from larklb.consensus.words import Call, Ready
 from larklb.gateway.core import Core
@@ -104,7 +105,7 @@
     def forgetful(self: Replica, *arguments: Any, **named: Any) -> None:
         init(self, *arguments, **named)
         kept = self._hard_state
-        self._hard_state = HardState(kept.nonce, self._log.end[0], "", kept.bound, kept.proposer, kept.listed)
+        self._hard_state = evolve(kept, term=self._log.end[0], vote="")
 
     return [(Replica, "__init__", forgetful)]
 
@@ -114,8 +115,8 @@
     pre = Replica._on_pre_vote
 
     def lenient(handler: Any) -> Any:
-        def handle(self: Replica, sender: str, message: dict[str, Any]) -> None:
-            handler(self, sender, {**message, "last": [1 << 40, 1 << 40]})
+        def handle(self: Replica, sender: str, message: PreVote | VoteRequest) -> None:
+            handler(self, sender, msgspec.structs.replace(message, last=(1 << 40, 1 << 40)))
 
         return handle
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import pytest
 from attrs import define, evolve, field
 from hypothesis import settings
@@ -23,6 +24,7 @@
 from larklb.consensus.group import Liveness, majority, next_voters, wanted_size
 from larklb.consensus.history import MOST_TAKEN, History, Repeat
 from larklb.consensus.log import Entry, Log, Snapshot
+from larklb.consensus.messages import InstallSnapshot
 from larklb.consensus.replica import Answer, Call, Ready, RefusedError, Replica
 
 Prepare = Callable[["World"], None]
@@ -559,7 +561,7 @@
         world.expect(world.put(leader), 200)
     world.run(300)
     follower = others(world, leader)[0]
-    leader.replica._send(follower.disk, "snapshot", snapshot=old.word(), round=0)
+    leader.replica._send(follower.disk, InstallSnapshot, snapshot=old.word(), round=0)
     world.pump(leader)
     world.run(300)
     world.check_end()
@@ -590,7 +592,7 @@
         {
             "kind": "append_entries",
             "disk": old.disk,
-            "nonce": old.replica._hard_state.nonce,
+            "group_id": old.replica._hard_state.group_id,
             "term": term,
             "round": 1,
             "prev": [entry.index - 1, term],
@@ -724,7 +726,7 @@
             world.run(rng.choice([3, 20, 300]))
         world.heal()
         world.run(12000)
-        assert len({replica._hard_state.nonce for replica in world.replicas() if replica.is_leader}) < 2
+        assert len({replica._hard_state.group_id for replica in world.replicas() if replica.is_leader}) < 2
         propose(world, world.machines["n0"], list(world.machines.values()))
         world.run(2000)
         world.check_end()
@@ -871,10 +873,10 @@
 
     def __init__(self) -> None:
         self.replica = Replica("a", "a", None, 0.0, 1, tolerance=1, apply=apply)
-        self.step("b", "founding", 0, nonce="1", listed={"a": "a", "b": "b", "c": "c"})
+        self.step("b", "founding", 0, group_id="1", listed={"a": "a", "b": "b", "c": "c"})
 
     def step(self, sender: str, kind: str, term: int, **fields: Any) -> None:
-        self.replica.step(0.0, sender, {"kind": kind, "disk": sender, "nonce": "1", "term": term} | fields)
+        self.replica.step(0.0, sender, {"kind": kind, "disk": sender, "group_id": "1", "term": term} | fields)
 
     def append(self, sender: str, term: int, index: int, prev_term: int) -> None:
         self.step(
@@ -933,7 +935,7 @@
         {
             "kind": "append_reply",
             "disk": "z",
-            "nonce": "1",
+            "group_id": "1",
             "term": 2,
             "ok": True,
             "match": 2,
@@ -977,7 +979,11 @@
 def no_check_of_terms(patch: pytest.MonkeyPatch) -> None:
     heed = Replica._heed
     patch.setattr(
-        Replica, "_heed", lambda self, sender, nonce, term: heed(self, sender, nonce, max(term, self.term))
+        Replica,
+        "_heed",
+        lambda self, sender, message: heed(
+            self, sender, msgspec.structs.replace(message, term=max(message.term, self.term))
+        ),
     )
 
 
