--- a/larklb/consensus/replica.py
+++ b/larklb/consensus/replica.py
@@ -50,7 +50,6 @@
 RESEND_MS = 300.0  # in which content may be on its way though a shorter message overtook it, ...
 RESEND_BYTES = 4000  # ... and a ms more for so many bytes
 FOUND_MS = 300.0  # between two askings of a founding
-PROPOSER_MS = 5000.0  # of silence after which another may propose in the place of a founding's proposer
 LEARNER_MS = 1000.0  # since a newcomer's last word in which it counts as keeping up
 MOST_INBOX = 256  # messages kept while a save is under way
 MOST_OUTBOX = 512
@@ -246,7 +245,8 @@
         if ballot.bound or self._saving_since is not None:
             return
         if ballot.group_id and (
-            ballot.proposer == self.disk or self._liveness.silence(self._now, ballot.proposer) < PROPOSER_MS
+            ballot.proposer == self.disk
+            or self._liveness.silence(self._now, ballot.proposer) < self._timing.proposer
         ):
             return
         listed = {**cores, self.disk: self.node}
--- a/larklb/consensus/timing.py
+++ b/larklb/consensus/timing.py
@@ -23,7 +23,8 @@
     ``election``: drawn from this range, the silence after which a follower stands; ``split``: until the next
     try after a vote that went to another; ``quorum``: without an answered round from a majority for so long
     a leader steps down; ``hang``: a save that takes longer counts as a hanging disk; ``silent``: without a
-    word for so long a voter may be replaced."""
+    word for so long a voter may be replaced; ``proposer``: of silence, after which another may propose in
+    the place of a founding's proposer; ``scale``: of all but ``silent`` to the base values."""
 
     heartbeat: float = 150.0
     election: tuple[float, float] = (700.0, 1300.0)
@@ -31,6 +32,8 @@
     quorum: float = 1000.0
     hang: float = 400.0
     silent: float = 2400.0
+    proposer: float = 5000.0
+    scale: float = 1.0
 
     @classmethod
     def of(cls, contact_ms: float, convergence_ms: float) -> Timing:
@@ -43,5 +46,7 @@
             split=(base.split[0] * scale, base.split[1] * scale),
             quorum=base.quorum * scale,
             hang=base.hang * scale,
+            proposer=base.proposer * scale,
+            scale=scale,
             silent=min(base.silent, max(LEAST_SILENT_MS, SILENT_PART * convergence_ms)),
         )
--- a/larklb/gateway/control_plane.py
+++ b/larklb/gateway/control_plane.py
@@ -15,6 +15,7 @@
 
 from attrs import evolve
 
+from larklb.consensus.timing import Timing
 from larklb.consensus.words import Answer
 from larklb.gateway.control import AWAY, Settled, settled_of
 from larklb.gateway.core import Core
@@ -61,7 +62,9 @@
         self.settings, self.post, self.take, self.version, self.rng = settings, post, take, version, rng
         self.born = now
         self.core: Core | None = None
-        self.subscriber = Subscriber(me, [host for host, _ in settings.seeds], changed=changed)
+        scale = Timing.of(settings.bounds.contact, settings.bounds.convergence).scale
+        seeds = [host for host, _ in settings.seeds]
+        self.subscriber = Subscriber(me, seeds, scale=scale, changed=changed)
         self.forwarding = Forwarding(session, post, after)
         self.fetched_at = self.peeked_at = float("-inf")
 
--- a/larklb/lab/control_faults.py
+++ b/larklb/lab/control_faults.py
@@ -55,6 +55,7 @@
     "replacement": {"wipe": 5, "replace": 5, "planned": 3, "terminate": 4, "wipe_after_ack": 4, "kill": 1},
     "history": {"away": 5, "restarts": 4, "disk": 2, "kill_all": 2, "resend": 3, "wipe": 1},
     "answers": {
+        "late_answers": 6,
         "loss": 5,
         "kill": 4,
         "limiter": 6,
@@ -441,6 +442,22 @@
             self.world.note(f"{order.name} is sent again")
             self.operators.again(order)
 
+    def _late_answers(self) -> None:
+        """A limiter ends with calls passed on, and what answers them comes late, to its next process."""
+        limiters = [m for m in self.world.machines.values() if m.disk is None and m.up]
+        if not limiters:
+            return
+        machine, world = self.world.rng.choice(limiters), self.world
+        world.note(f"{machine.node} ends with calls passed on, and answers come late")
+        world.repeats, world.core_troubled = 0.5, world.now
+        for _ in range(6):
+            self._order_at(machine)
+        world.at(3.0, partial(world.kill, machine))
+        world.at(4.0, partial(world.restart, machine))
+        for index in range(30):
+            world.at(100.0 + 50.0 * index, partial(self._order_at, machine))
+        world.at(2_500.0, self._no_loss)
+
     def _limiter(self) -> None:
         """A machine without a disk is restarted, at times at once."""
         limiters = [m for m in self.world.machines.values() if m.disk is None and m.up]
--- a/larklb/registry/subscriber.py
+++ b/larklb/registry/subscriber.py
@@ -38,6 +38,7 @@
 
     me: Member
     seeds: list[str]  # addresses of limiters that may know core machines
+    scale: float = 1.0  # of the times below: less than 1 where machines count as in touch sooner than 3 s
     out: Words = field(factory=list)
     cores: dict[str, Core] = field(factory=dict)
     home: str = ""
@@ -116,17 +117,17 @@
             self.hello_at = now
             word = {"k": "hello", "s": self.me.node, "m": self.me.row()}
             self.out.extend((seed, word) for seed in self.seeds if seed != self.me.ip)
-        if self.home and now - self.heard > SILENT_MS:
+        if self.home and now - self.heard > self.scale * SILENT_MS:
             if self.home in self.cores:
-                self.cores[self.home].shunned = now + SHUN_MS
+                self.cores[self.home].shunned = now + self.scale * SHUN_MS
             self._turn_to(now, self._next_home(now))
         elif not self.home:
             self._turn_to(now, self._next_home(now))
-        elif now - self.beat_at >= BEAT_MS:
+        elif now - self.beat_at >= self.scale * BEAT_MS:
             best = self._next_home(now)  # the first in the order is back
             if best and best != self.home:
                 self._turn_to(now, best)
-        if self.home and now - self.beat_at >= BEAT_MS:
+        if self.home and now - self.beat_at >= self.scale * BEAT_MS:
             self.beat(now)
         changed = False
         kept: dict[str, float]
@@ -189,7 +190,7 @@
             self.cores[self.home].at = now
         if message.get("wait"):  # it has just started: another home knows more
             if any(c.shunned <= now for n, c in self.cores.items() if n != self.home):
-                self.cores[self.home].shunned = now + SHUN_MS / 2
+                self.cores[self.home].shunned = now + self.scale * SHUN_MS / 2
                 self._turn_to(now, self._next_home(now))
             return
         life, start = int(message["l"]), int(message["from"])
@@ -250,11 +251,11 @@
         for name, server in self.servers.items():
             if name not in self.fresh and server.state != GONE:
                 self.fresh[name] = server
-                self.unsure.setdefault(name, now + UNSURE_MS)
+                self.unsure.setdefault(name, now + self.scale * UNSURE_MS)
         for node, member in self.members.items():
             if node not in self.fresh_members:
                 self.fresh_members[node] = member
-                self.unsure_members.setdefault(node, now + UNSURE_MS)
+                self.unsure_members.setdefault(node, now + self.scale * UNSURE_MS)
         self.servers, self.members = self.fresh, self.fresh_members
         self.fresh, self.fresh_members = {}, {}
         self.whole = self.ever = True
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from larklb.lab.control_breaks import BREAKS
-from larklb.lab.control_faults import SCENARIOS, Task, main, played, tasks
+from larklb.lab.control_faults import SCENARIOS, Day, Task, main, played, tasks
 from larklb.lab.control_history import BrokenError, History, Order, Read
 
 SHORT_MS = 5_000.0
@@ -119,3 +119,14 @@
         told.acknowledge(other, 2.0)
     with pytest.raises(BrokenError):
         told.refuse(one, 2.0)
+
+
+@pytest.mark.parametrize(
+    ("contact", "convergence"), [(1_200.0, 2_000.0), (2_000.0, 3_000.0), (8_000.0, 10_000.0)]
+)
+def test_other_terms_are_kept_too(contact: float, convergence: float) -> None:
+    """Times follow from the terms: an order is acknowledged within ackMs of a core that settles sooner."""
+    for seed in range(3):
+        day = Day("mixed", seed, 3, 1, length=SHORT_MS)
+        day.world.settings_of(contact=contact, convergence=convergence, ack=contact + 2_000.0)
+        day.play()
