--- a/larklb/lab/control_breaks.py
+++ b/larklb/lab/control_breaks.py
@@ -9,7 +9,7 @@
 import msgspec
 from attrs import define, evolve
 
-from larklb.consensus import group, replica
+from larklb.consensus import group, replication
 from larklb.consensus.calls import Calls
 from larklb.consensus.history import History, Repeat
 from larklb.consensus.log import Log
@@ -171,7 +171,7 @@
 
 
 def _committed_by_fewer() -> list[Change]:
-    return [(replica, "majority", lambda size: max(1, size // 2))]
+    return [(replication, "majority", lambda size: max(1, size // 2))]
 
 
 def _no_quorum_for_leading() -> list[Change]:
@@ -210,11 +210,14 @@
 def without(name: str) -> Iterator[None]:
     """Takes a guard out for a while."""
     changes = BREAKS[name].changes()
-    kept = [(owner, attribute, owner.__dict__[attribute]) for owner, attribute, _ in changes]
+    kept = [(owner, attribute, vars(owner).get(attribute)) for owner, attribute, _ in changes]
     try:
         for owner, attribute, value in changes:
             setattr(owner, attribute, value)
         yield
     finally:
         for owner, attribute, value in kept:
-            setattr(owner, attribute, value)
+            if value is None:  # inherited
+                delattr(owner, attribute)
+            else:
+                setattr(owner, attribute, value)
