What a late message of a leader tells is not new; the checker has a fourth machine

Replies carry a stamp of the follower's life and clock now, the leader's messages carry the newest back, and a follower is as new as that. The exhaustive checker has a fourth machine that takes the place of one that is gone ('fourth', 'replaced'), and finds 'group-changes-alone' at once.

--- a/larklb/consensus/messages.py
+++ b/larklb/consensus/messages.py
@@ -17,6 +17,7 @@
 
 Disks = Annotated[dict[str, str], msgspec.Meta(max_length=MOST_VOTERS)]  # disk ids and node names
 Position = tuple[int, int]  # (term, index) of a log's end
+Stamp = tuple[int, float]  # a replica's life, and its clock in ms
 Entries = Annotated[list[dict[str, Any]], msgspec.Meta(max_length=MOST_ENTRIES)]
 
 
@@ -61,12 +62,14 @@
 
 class AppendEntries(Message, frozen=True, kw_only=True, tag="append_entries"):
     """Entries that follow the one at ``prev`` (index, term), none for a heartbeat; ``commit``: the index up
-    to which the leader has committed; ``round``: numbers what the leader sends to all at once."""
+    to which the leader has committed; ``round``: numbers what the leader sends to all at once; ``seen``: the
+    newest stamp of the receiver's that the leader has: what this message tells is no older than that."""
 
     prev: Position
     commit: int
     round: int
     entries: Entries
+    seen: Stamp
 
 
 class InstallSnapshot(Message, frozen=True, kw_only=True, tag="snapshot"):
@@ -78,12 +81,13 @@
 
 class AppendReply(Message, frozen=True, kw_only=True, tag="append_reply"):
     """``ok``: all up to ``match`` is durable and the same as at the leader; else ``match`` is the highest
-    index that may be, and ``tried`` the one that was not."""
+    index that may be, and ``tried`` the one that was not; ``stamp``: when this was sent."""
 
     ok: bool
     match: int
     tried: int
     round: int
+    stamp: Stamp
 
 
 class Founding(Message, frozen=True, kw_only=True, tag="founding"):
--- a/larklb/consensus/replication.py
+++ b/larklb/consensus/replication.py
@@ -10,7 +10,7 @@
 from larklb.consensus.founding import HardState
 from larklb.consensus.group import majority
 from larklb.consensus.log import Entry, Log, Snapshot
-from larklb.consensus.messages import MOST_ENTRIES, AppendEntries, AppendReply, InstallSnapshot
+from larklb.consensus.messages import MOST_ENTRIES, AppendEntries, AppendReply, InstallSnapshot, Stamp
 from larklb.consensus.state import Peer, ReplicaState
 
 log = logging.getLogger(__name__)
@@ -35,7 +35,7 @@
             self._durable = -1
             self._dirty |= {"ballot", "log"}
         if term < self.term:
-            self._send(sender, AppendReply, ok=False, match=-1, tried=-1, round=0)
+            self._send(sender, AppendReply, ok=False, match=-1, tried=-1, round=0, stamp=self._stamp())
             return False
         if term > self.term:
             self._enter(term)
@@ -58,7 +58,15 @@
         mine = self._log
         if prev > mine.last or (prev >= mine.base.index and mine.term_at(prev) != prev_term):
             match = min(mine.last, prev - 1)
-            self._send(sender, AppendReply, ok=False, match=match, tried=prev, round=message.round)
+            self._send(
+                sender,
+                AppendReply,
+                ok=False,
+                match=match,
+                tried=prev,
+                round=message.round,
+                stamp=self._stamp(),
+            )
             return
         if mine.merge(prev, entries):
             self._durable = min(self._durable, max(prev, mine.commit))
@@ -67,8 +75,16 @@
         mine.advance(min(message.commit, match))
         if message.commit <= match and mine.term_at(message.commit) == message.term:
             # A new leader may know less of what is committed than its log holds, until one entry is its own.
-            self._confirmed, self._current_at = True, self._now
-        self._send(sender, AppendReply, ok=True, match=match, tried=prev, round=message.round)
+            self._follows_since(message.seen)
+        self._send(
+            sender, AppendReply, ok=True, match=match, tried=prev, round=message.round, stamp=self._stamp()
+        )
+
+    def _follows_since(self, seen: Stamp) -> None:
+        """What is committed here is as new as the leader's at the time of the stamp. A message that came
+        late, or to the next life of this replica, proves nothing of the present."""
+        if seen[0] == self._life:
+            self._confirmed, self._current_at = True, max(self._current_at, seen[1])
 
     def _on_snapshot(self, sender: str, message: InstallSnapshot) -> None:
         snapshot = Snapshot.read(message.snapshot)
@@ -77,7 +93,15 @@
         if self._log.install(snapshot):
             self._durable = min(self._durable, snapshot.index - 1)
             self._dirty.add("log")
-        self._send(sender, AppendReply, ok=True, match=snapshot.index, tried=-1, round=message.round)
+        self._send(
+            sender,
+            AppendReply,
+            ok=True,
+            match=snapshot.index,
+            tried=-1,
+            round=message.round,
+            stamp=self._stamp(),
+        )
 
     def _lead(self) -> None:
         log.info("consensus: %s leads in term %d", self.disk, self.term)
@@ -143,6 +167,7 @@
             commit=mine.commit,
             round=self._round,
             entries=[entry.word() for entry in entries],
+            seen=peer.stamp,
         )
 
     def _on_append_reply(self, sender: str, message: AppendReply) -> None:
@@ -155,7 +180,7 @@
         ok, match = message.ok, message.match
         if match > self._log.last or message.round > self._round:
             raise MalformedError("it answers what was never sent")
-        peer.heard = self._now
+        peer.heard, peer.stamp = self._now, message.stamp
         peer.round = max(peer.round, message.round)
         if ok:
             peer.match = max(peer.match, match)
--- a/larklb/consensus/state.py
+++ b/larklb/consensus/state.py
@@ -15,12 +15,13 @@
 from larklb.consensus.founding import HardState
 from larklb.consensus.group import Liveness
 from larklb.consensus.log import Log, decode, encode
-from larklb.consensus.messages import Message, encode_message
+from larklb.consensus.messages import Message, Stamp, encode_message
 from larklb.consensus.timing import Timing
 from larklb.consensus.words import Answer, Call, Ready
 
 log = logging.getLogger(__name__)
 
+LIVES = 1 << 40  # a replica's life is drawn below this
 MOST_ROUNDS = 64  # whose times of sending are remembered
 MOST_INBOX = 256  # messages kept while a save is under way
 MOST_OUTBOX = 512
@@ -31,7 +32,7 @@
     """How far the leader knows another's log. ``next``: the entry to send next; ``match``: saved up to there;
     ``round``: the newest it has answered; ``heard``: ms, its last word; ``behind``: the index that the last
     content sent follows (-1: a snapshot, which follows any); ``due``: ms from which on that counts as
-    lost."""
+    lost; ``stamp``: of its newest reply."""
 
     next: int
     heard: float
@@ -39,6 +40,7 @@
     round: int = 0
     behind: int = -1
     due: float = float("-inf")
+    stamp: Stamp = (0, 0.0)
 
 
 def version_of(document: dict[str, Any] | None) -> int:
@@ -89,6 +91,7 @@
         self._rng = random.Random(f"{seed} {disk}")
         self._hard_state, self._log = load(stored or {})
         self._role = "follower"
+        self._life = self._rng.randrange(1, LIVES)
         self._confirmed = False
         self._current_at = float("-inf")  # when what is committed here was last as new as at the leader
         self._sticky = float("-inf")  # when the leader was last heard
@@ -178,6 +181,10 @@
             return self.leads_surely(now)
         return self.leader is not None and now - self._current_at <= self._timing.quorum
 
+    def _stamp(self) -> Stamp:
+        """Of what is sent now."""
+        return self._life, self._now
+
     def _hangs(self) -> bool:
         return self._saving_since is not None and self._now - self._saving_since > self._timing.hang
 
--- a/larklb/lab/check_consensus.py
+++ b/larklb/lab/check_consensus.py
@@ -49,19 +49,21 @@
 from larklb.consensus.history import Repeat
 from larklb.consensus.log import Log
 from larklb.consensus.membership_change import LEARNER_MS
-from larklb.consensus.messages import AppendEntries, InstallSnapshot, VoteRequest
+from larklb.consensus.messages import AppendEntries, InstallSnapshot, Stamp, VoteRequest
 from larklb.consensus.replica import RETRY_MS, Replica
 from larklb.consensus.timing import Timing
 from larklb.consensus.words import Call, Ready
 
 TIMING = Timing()
-NODES = ("a", "b", "c")
-LINKS = tuple((i, j) for i in range(3) for j in range(3) if i != j)
+NODES = ("a", "b", "c", "d")  # the last one is there only from the start ``fourth`` on
+FOUNDERS = 3
+LINKS = tuple((i, j) for i in range(len(NODES)) for j in range(len(NODES)) if i != j)
 MAJORITY = 2
 LINK = 3  # words under way on a link
 SENT = 2  # times that an operator sends a call
 TIME_OUT = 1400.0  # ms, beyond the longest of an election and of a leader without word of a majority
 BEAT = 150.0  # ms, the leader's heartbeat
+MOST_BEATS = 60  # in which a silent voter must be about to be replaced
 DEPTH, FAULTS, WORLDS = 6, 2, 6_000_000
 HELD = (
     "no two on one base",
@@ -162,6 +164,10 @@
     """Begins a new round only where a call waits for one, so that there are few states. A round that is sent
     again proves no more: whoever answers it has heard of it after the call that asked for it."""
 
+    def _stamp(self) -> Stamp:
+        """No message tells a time; what stamps are for is checked in ``control_faults``."""
+        return 0, 0.0
+
     def _broadcast(self) -> None:
         waiting = [*self._calls.reads, *self._calls.verdicts]
         if not any(each.at > self._round for each in waiting):
@@ -436,6 +442,7 @@
     chain: frozenset[tuple[int, int, str]] = frozenset()
     sent: tuple[tuple[str, int], ...] = ()
     emptied: int = 0
+    fourth: bool = False
     committed: frozenset[tuple[int, int]] = frozenset()
 
 
@@ -471,11 +478,11 @@
     def unpack(self, packed: bytes) -> World:
         flat = array("I")
         flat.frombytes(packed)
-        at, links = 4, []
+        at, links = len(NODES) + 1, []
         for _ in LINKS:
             links.append(tuple(flat[at + 1 : at + 1 + flat[at]]))
             at += 1 + flat[at]
-        return World(list(flat[:3]), links, self._histories[flat[3]])
+        return World(list(flat[: len(NODES)]), links, self._histories[flat[len(NODES)]])
 
     # Events
 
@@ -494,7 +501,8 @@
         sent = dict(world.history.sent)
         for i, face in enumerate(faces):
             if not face.up:
-                yield ("starts", i, None), 0
+                if i < FOUNDERS or world.history.fourth:
+                    yield ("starts", i, None), 0
                 continue
             yield ("times out", i, None), 0
             if face.lead:
@@ -543,6 +551,8 @@
             for link, (_, to) in enumerate(LINKS):
                 if to == at:
                     world.links[link] = ()
+        if name == "starts" and at >= FOUNDERS:
+            world.history = evolve(world.history, fourth=True)
         before, done = self.all.faces[world.of[at]], self.all.happens(world.of[at], name, what)
         world.of[at] = done.state
         disks = [self.all.faces[state].disk for state in world.of]
@@ -602,12 +612,31 @@
                 raise BrokenError(f"two are in force on base {face.base}")
             if face.identity[5:] in refused:
                 raise BrokenError(f"{face.identity[5:]} was refused, and is in force")
-        world.history = History(
-            leaders, tuple(sorted(acked.items())), refused, chain, old.sent, old.emptied, committed
+        world.history = evolve(
+            old,
+            leaders=leaders,
+            acked=tuple(sorted(acked.items())),
+            refused=refused,
+            chain=chain,
+            committed=committed,
         )
 
     # Starts
 
+    def until_change(self, world: World, leader: int, among: str) -> None:
+        """Heartbeats until the leader has appended a change of the voters. Raises BrokenError."""
+        before = self._voters(world, leader)
+        for _ in range(MOST_BEATS):
+            self.act(world, ("beats", leader, None))
+            if self._voters(world, leader) != before:
+                return
+            self.quiet(world, among)
+        raise BrokenError("no change of the voters")
+
+    def _voters(self, world: World, at: int) -> dict[str, str]:
+        replica = self.all.states[world.of[at]].replica
+        return replica.voters if replica is not None else {}
+
     def quiet(self, world: World, among: str = "".join(NODES)) -> None:
         """Words arrive among these, the oldest first, until there are none."""
         links = [n for n, (i, j) in enumerate(LINKS) if NODES[i] in among and NODES[j] in among]
@@ -617,7 +646,7 @@
     def start(self, name: str) -> World:
         """A world of ``STARTS``. Raises BrokenError."""
         world = World([self.all.state(Machine(node, node)) for node in NODES], [()] * len(LINKS), History())
-        for i in range(3):
+        for i in range(FOUNDERS):
             self.act(world, ("starts", i, None))
         self.act(world, ("founds", 0, None))
         self.act(world, ("beats", 0, None))
@@ -628,6 +657,8 @@
             kind, _, where = step.partition(" ")
             if kind == "quiet":
                 self.quiet(world, where)
+            elif kind == "change":
+                self.until_change(world, NODES.index(where[0]), where)
             elif kind in ("word", "lose"):
                 link = LINKS.index((NODES.index(where[0]), NODES.index(where[1])))
                 self.act(world, ("arrives" if kind == "word" else "is lost", link, 0))
@@ -756,6 +787,8 @@
         *("out b", "lose bc", "lose ba", "out c", "word cb", "word bc", "quiet bc", "beat c", "quiet bc"),
         *("call cx", "quiet bc"),
     ),
+    "fourth": ("power c", "start d", "change abd"),
+    "replaced": ("power c", "start d", "change abd", "quiet abd", "change abd"),
     "snapshot": (
         "empty c",
         "start c",
@@ -858,6 +891,16 @@
         self._calls.verdicts.clear()
 
 
+class Shrinking(CoarseRounds):
+    """Counts a change of the voters only from its commit on, and needs half of them."""
+
+    def _advance(self) -> None:
+        kept = self._log
+        if kept.pending("voters") and self.is_leader:
+            self._log.advance(self._durable)
+        super()._advance()
+
+
 SEEDED: dict[str, type[Replica]] = {
     "words-before-saves": Early,
     "votes-for-all": Fickle,
@@ -868,6 +911,7 @@
     "vote-forgotten": Amnesic,
     "failed-save-counts": Hopeful,
     "refused-from-memory": Hasty,
+    "group-changes-alone": Shrinking,
 }
 
 
--- a/tests/test_check_consensus.py
+++ b/tests/test_check_consensus.py
@@ -34,6 +34,13 @@
     assert explorer.depth == 6 and explorer.worlds > 10_000
 
 
+def test_no_fault_while_the_group_changes_breaks_what_must_hold() -> None:
+    """A fourth machine takes the place of one that is gone: before its entry is known to any, and after."""
+    explorer = Explorer()
+    explorer.explore(3, 1, 1_000_000, ("fourth", "replaced"))
+    assert explorer.depth == 3 and explorer.worlds > 3_000
+
+
 SHORTEST = {  # start, steps, faults looked for, and what breaks
     "words-before-saves": ("uncommitted", 3, 2, "acknowledged, and on 1 disks"),
     "votes-for-all": ("contest", 4, 2, "two lead"),
@@ -43,6 +50,7 @@
     "blank-disk-votes": ("snapshot", 3, 2, "blank disk of c votes"),
     "failed-save-counts": ("uncommitted", 5, 2, "acknowledged, and on 1 disks"),
     "vote-forgotten": ("contest", 6, 1, "two lead"),
+    "group-changes-alone": ("fourth", 0, 0, "committed, and on 1 disks"),
     "refused-from-memory": ("old leader", 1, 0, "nothing newer than its base is in force"),
 }
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -598,6 +598,7 @@
             "prev": [entry.index - 1, term],
             "entries": [entry.word()],
             "commit": entry.index,
+            "seen": [0, 0.0],
         },
     )
     world.until(lambda: world.leading() not in (None, old), 4000)
@@ -887,6 +888,7 @@
             commit=0,
             round=1,
             entries=[Entry(index, term, "noop").word()],
+            seen=[0, 0.0],
         )
 
     def sent(self) -> list[dict[str, Any]]:
@@ -918,6 +920,18 @@
     assert [message["term"] for message in one.sent() if message["kind"] == "append_reply"] == [2]
 
 
+def test_what_a_late_message_tells_is_not_new() -> None:
+    """Up to date is only who has had, in this life, a leader's answer to something that it sent lately."""
+    one = Alone()
+    one.append("b", 1, 1, 0)
+    reply = next(message for message in one.sent() if message["kind"] == "append_reply")
+    told = {"prev": [1, 1], "commit": 1, "round": 2, "entries": []}
+    one.step("b", "append_entries", 1, **told, seen=[reply["stamp"][0] + 1, 0.0])
+    assert not one.replica.confirmed and not one.replica.up_to_date(0.0), "to another life"
+    one.step("b", "append_entries", 1, **told, seen=reply["stamp"])
+    assert one.replica.confirmed and one.replica.up_to_date(900.0) and not one.replica.up_to_date(1100.0)
+
+
 def test_an_older_terms_entry_is_committed_only_with_one_of_its_own() -> None:
     one = Alone()
     one.append("b", 1, 1, 0)
@@ -927,7 +941,7 @@
     one.step("b", "vote_reply", 2, yes=True)
     one.sent()
     assert one.replica.is_leader and one.replica._log.last == 2
-    one.step("b", "append_reply", 2, ok=True, match=1, tried=0, round=1)
+    one.step("b", "append_reply", 2, ok=True, match=1, tried=0, round=1, stamp=[1, 0.0])
     assert one.replica._log.commit == 0
     one.replica.step(
         2000.0,
@@ -941,10 +955,11 @@
             "match": 2,
             "tried": 1,
             "round": 1,
+            "stamp": [1, 0.0],
         },
     )
     assert one.replica._log.commit == 0, "another disk's word"
-    one.step("b", "append_reply", 2, ok=True, match=2, tried=1, round=1)
+    one.step("b", "append_reply", 2, ok=True, match=2, tried=1, round=1, stamp=[1, 0.0])
     assert one.replica._log.commit == 2
 
 
