--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -10,7 +10,8 @@
 from hypothesis import strategies as st
 
 from larklb.lab.control_breaks import BREAKS
-from larklb.lab.control_faults import SCENARIOS, Day, Task, main, played, tasks
+from larklb.lab.control_day import SCENARIOS, Day
+from larklb.lab.control_faults import Task, main, played, tasks
 from larklb.lab.control_history import BrokenError, History, Order, Read
 
 SHORT_MS = 5_000.0
