--- a/larklb/lab/control_day.py
+++ b/larklb/lab/control_day.py
@@ -2,7 +2,7 @@
 
 What a scenario is for stands in ``control_faults``. A core machine counts as lost while its trouble lasts
 and for ``convergenceS`` after it; never more are lost at once than the core's tolerance, but all may be
-killed together. """
+killed together."""
 
 from __future__ import annotations
 
