--- a/larklb/lab/check_consensus.py
+++ b/larklb/lab/check_consensus.py
@@ -21,11 +21,10 @@
 
 prints worlds, depth and what held; where something doesn't, the shortest trace, and exits 1.  From all ten
 starts, depth 5 with one fault: 653,275 worlds, reached whole, nothing broken. Before rounds and a fourth
-machine were part of the states: depth 6 with two faults, 3,617,986 worlds; depth 7 with one, 4,874,022; depth 9
-with none, 4,963,942.  What takes
-more events from each of ``STARTS`` lies beyond: an acknowledgement that outlives the entry it tells of
-(replies kept over a new term) isn't found at depth 5 with two faults; ``test_consensus`` guards against it.
-"""
+machine were part of the states: depth 6 with two faults, 3,617,986 worlds; depth 7 with one, 4,874,022;
+depth 9 with none, 4,963,942.  What takes more events from each of ``STARTS`` lies beyond: an
+acknowledgement that outlives the entry it tells of (replies kept over a new term) isn't found at depth 5
+with two faults; ``test_consensus`` guards against it."""
 
 from __future__ import annotations
 
