--- a/tests/test_assignment.py
+++ b/tests/test_assignment.py
@@ -16,6 +16,8 @@
 from larklb.assignment.callers import GROW_MS, SHRINK_MS, Callers
 from larklb.assignment.errors import WeightError
 
+pytestmark = pytest.mark.simulation
+
 CALLERS = [caller_key(f"t{i % 40}", "r", str(i)) for i in range(400)]
 HISTORIES = st.lists(st.tuples(st.integers(0, 7), st.sampled_from([0.0, 0.1, 1.0, 1.1, 2.0, 7.3])),
                      max_size=12)
--- a/tests/test_check_consensus.py
+++ b/tests/test_check_consensus.py
@@ -20,6 +20,8 @@
     seeded,
 )
 
+pytestmark = pytest.mark.simulation
+
 
 @pytest.fixture(autouse=True)
 def no_words_of_failed_saves(caplog: pytest.LogCaptureFixture) -> None:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -27,6 +27,8 @@
 from larklb.consensus.messages import InstallSnapshot
 from larklb.consensus.replica import Answer, Call, Ready, RefusedError, Replica
 
+pytestmark = pytest.mark.simulation
+
 Prepare = Callable[["World"], None]
 
 TICK = 50.0
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -13,6 +13,8 @@
 from larklb.lab.emulator import Deployment, Emulator, Make, Trouble, flags, play, shop
 from larklb.lab.emulator_rivals import RIVALS
 
+pytestmark = pytest.mark.simulation
+
 SHORT = {"length": 12_000.0, "settling": 2_000.0}
 
 
--- a/tests/test_registry_machine.py
+++ b/tests/test_registry_machine.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -10,6 +11,8 @@
 from larklb.membership.members import LEAVING, UP, Member, Members
 from larklb.registry.registry import DRAINING, GONE, STEADY, Registry, Server
 
+pytestmark = pytest.mark.simulation
+
 CORES = st.integers(0, 2)
 IDS = st.sampled_from(("i-1", "i-2", "i-3"))
 NODES = st.sampled_from(("n-1", "n-2", "n-3"))
