--- a/larklb/cli/system_disk.py
+++ b/larklb/cli/system_disk.py
@@ -11,9 +11,9 @@
 from larklb.cli.system_calls import DONE, OFF, Document, Row, UnusableError, complain, line, table
 from larklb.consensus.errors import ConsensusError
 from larklb.consensus.founding import HardState
+from larklb.consensus.interface import Call
 from larklb.consensus.log import Log, decode
 from larklb.consensus.replica import Replica
-from larklb.consensus.words import Call
 from larklb.storage.errors import StorageError
 from larklb.storage.store import IDENTITY, Store
 
--- a/larklb/consensus/calls.py
+++ b/larklb/consensus/calls.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from larklb.consensus.words import Answer, Call
+from larklb.consensus.interface import Answer, Call
 
 MOST_WAITING = 64  # changes, and as many reads; more are told to try again
 CALL_MS = 740.0  # in which a call is answered, so that with a tick of 50 ms it is within 800 ms
--- a/larklb/consensus/founding.py
+++ b/larklb/consensus/founding.py
@@ -13,10 +13,11 @@
 import random
 from typing import Any
 
-from attrs import define, field
+import msgspec
+from attrs import asdict, define, field, fields_dict
 
-from larklb.consensus.group import majority
-from larklb.consensus.words import flag, names, number, string
+from larklb.consensus.errors import MalformedError
+from larklb.consensus.group import Disks, majority
 
 GROUP_ID_BITS = 64
 
@@ -31,30 +32,24 @@
     vote: str = ""
     bound: bool = False
     proposer: str = ""
-    listed: dict[str, str] = field(factory=dict)
+    listed: Disks = field(factory=dict)
 
-    def word(self) -> dict[str, Any]:
-        """As JSON values, for the disk."""
-        return {
-            "nonce": self.group_id,
-            "term": self.term,
-            "vote": self.vote,
-            "bound": self.bound,
-            "proposer": self.proposer,
-            "listed": self.listed,
-        }
+    def stored(self) -> dict[str, Any]:
+        """Its durable form, as JSON values; there the group's id is the ``nonce``."""
+        values = asdict(self)
+        return {"nonce": values.pop("group_id"), **values}
 
     @classmethod
     def read(cls, source: dict[str, Any]) -> HardState:
-        """Raises MalformedError."""
-        return cls(
-            string(source, "nonce"),
-            number(source, "term"),
-            string(source, "vote"),
-            flag(source, "bound"),
-            string(source, "proposer"),
-            names(source, "listed"),
-        )
+        """From its durable form, with all its fields. Raises MalformedError."""
+        values = {"group_id": source.get("nonce"), **source}
+        missing = fields_dict(cls).keys() - values.keys()
+        if missing:
+            raise MalformedError(f"the hard state lacks {', '.join(sorted(missing))}")
+        try:
+            return msgspec.convert(values, cls)
+        except msgspec.ValidationError as error:
+            raise MalformedError(f"the hard state: {error}") from error
 
     def may_accept(self, disk: str, group_id: str, listed: dict[str, str]) -> bool:
         """Whether the disk may take this founding in place of what it holds."""
--- a/larklb/consensus/log.py
+++ b/larklb/consensus/log.py
@@ -4,13 +4,16 @@
 
 import json
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, Literal, TypeVar
 
+import msgspec
 from attrs import define, field
 
 from larklb.consensus.errors import ConsensusError, MalformedError
+from larklb.consensus.group import Disks
 from larklb.consensus.history import History
-from larklb.consensus.words import mapping, names, number, string
+
+_Record = TypeVar("_Record", bound=msgspec.Struct)
 
 KEPT_BYTES = 65536  # of committed entries kept behind the snapshot: who lags gets small ones by ...
 KEPT_ENTRIES = 32  # ... themselves; a large document isn't cheaper as an entry than as a snapshot
@@ -32,16 +35,50 @@
     return decoded
 
 
-def _document(source: dict[str, Any]) -> dict[str, Any] | None:
-    document = source.get("document")
-    if document is None:
-        return None
-    number(mapping(source, "document"), "version")
-    return mapping(source, "document")
+class EntryRecord(msgspec.Struct, frozen=True):
+    """An entry in messages and on the disk."""
+
+    index: int
+    term: int
+    kind: Literal["noop", "document", "voters"]
+    identity: str = ""
+    voters: Disks = msgspec.field(default_factory=dict)
+    document: dict[str, Any] | None = None
+
+
+class SnapshotRecord(msgspec.Struct, frozen=True):
+    """A snapshot in messages and on the disk; ``history`` as ``History.read`` has it."""
+
+    index: int
+    term: int
+    voters: Disks
+    history: Any = None
+    document: dict[str, Any] | None = None
+
+
+class LogRecord(msgspec.Struct, frozen=True):
+    """A log on the disk."""
+
+    nonce: str
+    commit: int
+    snapshot: SnapshotRecord
+    entries: list[EntryRecord]
+
+
+def _convert(source: Any, kind: type[_Record], name: str) -> _Record:
+    try:
+        return msgspec.convert(source, kind)
+    except (msgspec.ValidationError, RecursionError) as error:
+        raise MalformedError(f"{name}: {error}") from error
 
 
 def _version(document: dict[str, Any] | None) -> int:
-    return number(document, "version") if document else 0
+    if not document:
+        return 0
+    version = document.get("version")
+    if type(version) is not int:
+        raise MalformedError("a document's version is no integer")
+    return version
 
 
 @define(frozen=True)
@@ -80,21 +117,21 @@
 
     @classmethod
     def read(cls, source: Any) -> Entry:
-        """From a message or from the disk. Raises MalformedError."""
-        if not isinstance(source, dict):
-            raise MalformedError("an entry is no object")
-        kind = string(source, "kind")
-        index, term = number(source, "index"), number(source, "term")
-        if kind == "document":
-            document = _document(source)
-            if document is None:
-                raise MalformedError("an entry lacks its document")
-            return cls(index, term, kind, document, string(source, "identity"), {}, encode(document))
-        if kind == "voters":
-            return cls(index, term, kind, voters=names(source, "voters"))
-        if kind != "noop":
-            raise MalformedError("an entry of an unknown kind")
-        return cls(index, term, kind)
+        """From a message. Raises MalformedError."""
+        return cls.of(_convert(source, EntryRecord, "an entry"))
+
+    @classmethod
+    def of(cls, record: EntryRecord) -> Entry:
+        """From its record. Raises MalformedError."""
+        if record.kind == "voters":
+            return cls(record.index, record.term, record.kind, voters=record.voters)
+        if record.kind == "noop":
+            return cls(record.index, record.term, record.kind)
+        document = record.document
+        if document is None or not record.identity:
+            raise MalformedError("an entry lacks its document or its identity")
+        _version(document)
+        return cls(record.index, record.term, record.kind, document, record.identity, {}, encode(document))
 
 
 @define(frozen=True)
@@ -126,17 +163,16 @@
 
     @classmethod
     def read(cls, source: dict[str, Any]) -> Snapshot:
-        """Raises MalformedError."""
-        document = _document(source)
-        history = History.read(source.get("history"), _version(document))
-        return cls(
-            number(source, "index"),
-            number(source, "term"),
-            names(source, "voters"),
-            history,
-            document,
-            encode(document) if document else b"",
-        )
+        """From a message. Raises MalformedError."""
+        return cls.of(_convert(source, SnapshotRecord, "a snapshot"))
+
+    @classmethod
+    def of(cls, record: SnapshotRecord) -> Snapshot:
+        """From its record. Raises MalformedError."""
+        document = record.document
+        history = History.read(record.history, _version(document))
+        encoded = encode(document) if document else b""
+        return cls(record.index, record.term, record.voters, history, document, encoded)
 
     def with_entry(self, entry: Entry) -> Snapshot:
         """The state after the next entry."""
@@ -169,15 +205,12 @@
     @classmethod
     def read(cls, value: bytes) -> Log:
         """From its durable form. Raises MalformedError."""
-        source = decode(value)
-        entries = source.get("entries")
-        if not isinstance(entries, list):
-            raise MalformedError("entries is no list")
-        base = Snapshot.read(mapping(source, "snapshot"))
-        log = cls(string(source, "nonce"), base, [Entry.read(entry) for entry in entries], base)
+        record = _convert(decode(value), LogRecord, "the log")
+        base = Snapshot.of(record.snapshot)
+        log = cls(record.nonce, base, [Entry.of(entry) for entry in record.entries], base)
         if [entry.index for entry in log.entries] != list(range(base.index + 1, log.last + 1)):
             raise MalformedError("the stored log has a gap")
-        log.advance(number(source, "commit"))
+        log.advance(record.commit)
         return log
 
     def stored(self) -> bytes:
--- a/larklb/consensus/messages.py
+++ b/larklb/consensus/messages.py
@@ -11,11 +11,10 @@
 import msgspec
 
 from larklb.consensus.errors import MalformedError
-from larklb.consensus.words import MOST_VOTERS
+from larklb.consensus.group import Disks
 
 MOST_ENTRIES = 8  # in a message
 
-Disks = Annotated[dict[str, str], msgspec.Meta(max_length=MOST_VOTERS)]  # disk ids and node names
 Position = tuple[int, int]  # (term, index) of a log's end
 Stamp = tuple[int, float]  # a replica's life, and its clock in ms
 Entries = Annotated[list[dict[str, Any]], msgspec.Meta(max_length=MOST_ENTRIES)]
--- a/larklb/consensus/proposals.py
+++ b/larklb/consensus/proposals.py
@@ -7,9 +7,9 @@
 from larklb.consensus.calls import FULL, UNKNOWN
 from larklb.consensus.errors import RefusedError
 from larklb.consensus.history import Repeat
+from larklb.consensus.interface import Answer, Call
 from larklb.consensus.log import encode
 from larklb.consensus.state import ReplicaState, version_of
-from larklb.consensus.words import Answer, Call
 
 
 class Proposals(ReplicaState):
--- a/larklb/consensus/replica.py
+++ b/larklb/consensus/replica.py
@@ -15,6 +15,7 @@
 from larklb.consensus.election import Election
 from larklb.consensus.errors import ConsensusError, MalformedError, RefusedError
 from larklb.consensus.founding_protocol import FoundingProtocol
+from larklb.consensus.interface import Answer, Call, Ready
 from larklb.consensus.membership_change import MembershipChange
 from larklb.consensus.messages import (
     AppendEntries,
@@ -32,7 +33,6 @@
 )
 from larklb.consensus.proposals import Proposals
 from larklb.consensus.replication import Replication
-from larklb.consensus.words import Answer, Call, Ready
 
 __all__ = ["Answer", "Call", "ConsensusError", "Ready", "RefusedError", "Replica"]
 
--- a/larklb/consensus/state.py
+++ b/larklb/consensus/state.py
@@ -14,10 +14,10 @@
 from larklb.consensus.calls import LEFT, Calls
 from larklb.consensus.founding import HardState
 from larklb.consensus.group import Liveness
+from larklb.consensus.interface import Answer, Call, Ready
 from larklb.consensus.log import Log, decode, encode
 from larklb.consensus.messages import Message, Stamp, encode_message
 from larklb.consensus.timing import Timing
-from larklb.consensus.words import Answer, Call, Ready
 
 log = logging.getLogger(__name__)
 
@@ -191,7 +191,7 @@
     def _begin_save(self) -> dict[str, bytes]:
         save = {}
         if "ballot" in self._dirty:
-            save["ballot"] = encode(self._hard_state.word())
+            save["ballot"] = encode(self._hard_state.stored())
         if "log" in self._dirty:
             self._log.fold()
             save["log"] = self._log.stored()
--- a/larklb/gateway/control.py
+++ b/larklb/gateway/control.py
@@ -13,11 +13,12 @@
 import msgspec
 from attrs import define
 
+from larklb.gateway.messages import CallAnswer, ForwardedCall
 from larklb.gateway.servers import Reply
 from larklb.net.http import Link
 from larklb.registry.registry import DRAINING, STEADY, Server
 from larklb.schema import calls
-from larklb.schema.errors import PROBLEMS_KEPT, InvalidError, SchemaError
+from larklb.schema.errors import InvalidError, SchemaError
 
 JSON = (b"Content-Type", b"application/json")
 MOST_FIELDS = 8  # of a query
@@ -35,33 +36,38 @@
     report_to: str = ""
     problems: tuple[str, ...] = ()
 
-    def word(self) -> dict[str, Any]:
-        """As it travels between limiters."""
-        return {
-            "st": self.status,
-            "text": self.text,
-            "doc": self.document,
-            "to": self.report_to,
-            "problems": self.problems,
-        }
-
-
-def settled_of(word: Mapping[str, Any]) -> Settled:
-    """From another limiter's word."""
-    # A limiter of the release before tells no problems apart.
-    return Settled(
-        int(word["st"]),
-        str(word["text"]),
-        word["doc"],
-        str(word["to"]),
-        tuple(map(str, word.get("problems", ())))[:PROBLEMS_KEPT],
-    )
+    def answer_to(self, call: ForwardedCall) -> CallAnswer:
+        """The answer to the limiter that passed the call on."""
+        return CallAnswer(
+            number=call.number,
+            session=call.session,
+            status=self.status,
+            text=self.text,
+            document=self.document,
+            report_to=self.report_to,
+            problems=self.problems,
+        )
+
+    @classmethod
+    def told(cls, answer: CallAnswer) -> Settled:
+        """As another limiter answered a call that was passed on to it."""
+        return cls(answer.status, answer.text, answer.document, answer.report_to, answer.problems)
+
+
+@define(frozen=True)
+class OperatorOrder:
+    """An operator's call: ``kind`` is 'replace', 'amend' or 'read', ``base`` the version that a change builds
+    on, ``body`` its text."""
+
+    kind: str
+    base: int = 0
+    body: str = ""
 
 
 AWAY = Settled(503, "nobody who can settle this is in reach: try again, or another limiter")
 
-ServerCall = Callable[[Server | str], Awaitable[Settled]]  # a beat, or the id of one that leaves
-OperatorCall = Callable[[dict[str, Any]], Awaitable[Settled]]  # kind, base, body as text
+SettleServer = Callable[[Server | str], Awaitable[Settled]]  # a beat, or the id of one that leaves
+SettleOrder = Callable[[OperatorOrder], Awaitable[Settled]]
 StatusCall = Callable[[str, Mapping[str, str]], dict[str, Any] | None]  # path, query
 
 
@@ -69,8 +75,8 @@
 class Control:
     """Answers servers and operators."""
 
-    server: ServerCall
-    operator: OperatorCall
+    server: SettleServer
+    operator: SettleOrder
     status: StatusCall = lambda path, query: None
 
     async def answer(self, head: h11.Request, body: bytes, link: Link) -> Reply:
@@ -100,7 +106,7 @@
         if path == calls.READ:
             if head.method != b"GET":
                 return Reply(405)
-            return self._reply(await self.operator({"kind": "read", "base": 0, "body": ""}))
+            return self._reply(await self.operator(OperatorOrder("read")))
         if path in (calls.REPLACE, calls.AMEND):
             if head.method != b"POST":
                 return Reply(405)
@@ -126,7 +132,7 @@
             text = body.decode()
         except UnicodeDecodeError:
             return _invalid(["the body is no JSON: it is not UTF-8"])
-        return self._reply(await self.operator({"kind": kind, "base": int(base), "body": text}))
+        return self._reply(await self.operator(OperatorOrder(kind, int(base), text)))
 
     @staticmethod
     def _reply(settled: Settled) -> Reply:
--- a/larklb/gateway/control_plane.py
+++ b/larklb/gateway/control_plane.py
@@ -1,7 +1,7 @@
 """One limiter's part in the control plane: what it knows of the others, and where calls of servers and
 operators go.
 
-Without I/O: words come in by ``heard`` and leave by ``post``, time is an argument, and calls are answered
+Without I/O: messages come in by ``heard`` and leave by ``post``, time is an argument, and calls are answered
 through ``done``. A core machine settles servers' calls itself while it is in contact with a majority of the
 core, and operators' calls while it leads; all other calls are passed on, to the home or to the leader.
 """
@@ -15,13 +15,40 @@
 
 from attrs import evolve
 
+from larklb.consensus.interface import Answer
 from larklb.consensus.timing import Timing
-from larklb.consensus.words import Answer
-from larklb.gateway.control import AWAY, Settled, settled_of
+from larklb.gateway.control import AWAY, OperatorOrder, Settled
 from larklb.gateway.core import Core
-from larklb.gateway.forwarding import After, Forwarding, Word, answer_to
+from larklb.gateway.forwarding import After, Forwarding
+from larklb.gateway.messages import (
+    CallAnswer,
+    Configuration,
+    ConfigurationOffer,
+    ControlMessage,
+    Fetch,
+    ForwardedCall,
+    Message,
+    OperatorCall,
+    Peek,
+    Raft,
+    ServerCall,
+)
 from larklb.gateway.settings import Settings
 from larklb.membership.members import LEAVING, UP, Member, member_of
+from larklb.membership.messages import Rows
+from larklb.registry.messages import (
+    Beat,
+    Cores,
+    Delta,
+    Has,
+    Hello,
+    NotReady,
+    Ranges,
+    RowsHeard,
+    RowsKnown,
+    Sync,
+    Synced,
+)
 from larklb.registry.registry import Server, server_of
 from larklb.registry.replica import RegistryReplica
 from larklb.registry.subscriber import Subscriber
@@ -33,9 +60,6 @@
 MOST_HOPS = 3  # of a call that is passed on: to the home, to the leader, and to the next leader
 UNCONFIRMED_PART = 0.5  # of contactMs: then a core machine that hears no leader uses its disk's version
 
-CORE_KINDS = frozenset(("raft", "beat", "has", "rows", "known", "sync", "synced", "range", "fetch", "peek"))
-KINDS = CORE_KINDS | {"delta", "offer", "hello", "cores", "config", "call", "answer"}
-
 Done = Callable[[Settled], object]
 
 
@@ -52,7 +76,7 @@
         session: str,
         now: float,
         *,
-        post: Callable[[str, Word], object],
+        post: Callable[[str, Message], object],
         after: After,
         take: Callable[[dict[str, Any]], object],
         version: Callable[[], int],
@@ -84,7 +108,7 @@
         if now - self.peeked_at >= PEEK_MS:
             self.peeked_at = now
             if other := self.subscriber.another_core(now, self.rng.random()):
-                self.post(other, {"k": "peek"})  # a home that is cut off offers nothing new
+                self.post(other, Peek())  # a home that is cut off offers nothing new
 
     def _take_own(self, now: float, core: Core) -> None:
         """What the disk holds serves here once a leader has confirmed it; behind a cut it is the last good
@@ -98,8 +122,8 @@
     def flush(self) -> None:
         """Sends what the subscriber has to say."""
         out, self.subscriber.out = self.subscriber.out, []
-        for ip, word in out:
-            self.post(ip, word)
+        for ip, message in out:
+            self.post(ip, message)
 
     def leave(self, now: float) -> None:
         """The process is about to end in order: the others are told, and another machine leads."""
@@ -109,66 +133,70 @@
         if self.core is not None:
             self.core.leave(now)
 
-    # Words of other limiters --------------------------------------------------------------
-
-    def heard(self, now: float, word: Word) -> None:
-        """One word of ``KINDS``; KeyError, TypeError or ValueError where it can't be used."""
-        ip, kind = str(word["f"]), word["k"]
-        if kind in CORE_KINDS:
-            if self.core is not None:
-                self._heard_at_core(now, ip, word, self.core)
-        elif kind == "delta":
-            self.subscriber.delta(now, word)
-            if self.subscriber.offered[0] > self.version():
-                self._fetch(now, ip)
-        elif kind == "offer":
-            if int(word["cfg"][0]) > self.version():
-                self._fetch(now, ip)
-        elif kind == "hello":
-            self.subscriber.hello(now, ip, word)
-            self._meet(now, [[word["s"], word["m"]]])
-        elif kind == "cores":
-            self.subscriber.told_cores(now, word)
-            self._meet(now, word["c"])
-        elif kind == "config":
-            self.take(word["doc"])
-        elif kind == "call":
-            self._called(now, ip, word)
-        elif kind == "answer":
-            self.forwarding.answered(ip, word)
+    # Messages of other limiters -----------------------------------------------------------
+
+    def heard(self, now: float, message: ControlMessage) -> None:
+        """KeyError, TypeError or ValueError where a row in the message can't be used."""
+        match message:
+            case Delta():
+                self.subscriber.delta(now, message)
+                if self.subscriber.offered[0] > self.version():
+                    self._fetch(now, message.address)
+            case NotReady():
+                self.subscriber.not_ready(now, message)
+            case ConfigurationOffer():
+                if message.offer[0] > self.version():
+                    self._fetch(now, message.address)
+            case Hello():
+                self.subscriber.hello(now, message)
+                self._meet(now, [(message.sender, message.member)])
+            case Cores():
+                self.subscriber.told_cores(now, message)
+                self._meet(now, message.cores)
+            case Configuration():
+                self.take(message.document)
+            case ServerCall():
+                self._server_called(now, message)
+            case OperatorCall():
+                self._operator_called(now, message)
+            case CallAnswer():
+                self.forwarding.answered(message)
+            case _:
+                if self.core is not None:
+                    self._heard_at_core(now, message, self.core)
         self.flush()
 
-    def _heard_at_core(self, now: float, ip: str, word: Word, core: Core) -> None:
-        home, kind = core.home, word["k"]
-        if kind == "peek":
-            if core.may_tell(now):
-                self.post(ip, {"k": "offer", "cfg": core.offer})
-        elif kind == "raft":
-            core.step(now, str(word["d"]), word["m"])
-        elif kind == "beat":
-            home.beat(now, ip, word, core.offer)
-        elif kind == "has":
-            home.has(now, word)
-        elif kind == "rows":
-            home.rows(now, ip, word)
-        elif kind == "known":
-            home.pledge_known(now, word)
-        elif kind == "sync":
-            home.sync(now, ip, word)
-        elif kind == "synced":
-            home.synced(word)
-        elif kind == "range":
-            home.ranges(now, ip, word)
-        elif kind == "fetch" and core.replica.current is not None and core.may_tell(now):
-            self.post(ip, {"k": "config", "doc": core.replica.current})
+    def _heard_at_core(self, now: float, message: ControlMessage, core: Core) -> None:
+        home = core.home
+        match message:
+            case Raft():
+                core.step(now, message.disk, message.message)
+            case Beat():
+                home.beat(now, message, core.offer)
+            case Has():
+                home.has(message)
+            case RowsHeard():
+                home.rows_heard(now, message)
+            case RowsKnown():
+                home.rows_known(message)
+            case Sync():
+                home.sync(now, message)
+            case Synced():
+                home.synced(message)
+            case Ranges():
+                home.ranges(now, message)
+            case Peek() if core.may_tell(now):
+                self.post(message.address, ConfigurationOffer(offer=core.offer))
+            case Fetch() if core.replica.current is not None and core.may_tell(now):
+                self.post(message.address, Configuration(document=core.replica.current))
         home.push(now, core.offer)
         core.flush()
 
-    def _meet(self, now: float, rows: list[Any]) -> None:
+    def _meet(self, now: float, rows: Rows) -> None:
         if self.core is None:
             return
         for node, row in rows:
-            member = member_of(str(node), row)
+            member = member_of(node, row)
             if member.disk:
                 self.core.home.meet(now, member)
 
@@ -177,7 +205,7 @@
             return
         self.fetched_at = now
         if ip and ip != self.settings.ip:
-            self.post(ip, {"k": "fetch", "v": self.version()})
+            self.post(ip, Fetch(version=self.version()))
 
     # Calls of servers ---------------------------------------------------------------------
 
@@ -191,8 +219,10 @@
         if not home or home == self.settings.ip:
             done(AWAY)
             return
-        body = [call.id, call.row()] if isinstance(call, Server) else [call, None]
-        self._pass_on(home, "server", body, done)
+        if isinstance(call, Server):
+            self._pass_on(home, ServerCall(id=call.id, row=call.row()), done)
+        else:
+            self._pass_on(home, ServerCall(id=call, row=None), done)
 
     def _settle_server(self, now: float, home: RegistryReplica, call: Server | str, done: Done) -> None:
         assert self.core is not None
@@ -220,40 +250,46 @@
 
     # Calls of operators -------------------------------------------------------------------
 
-    def operator_call(self, now: float, call: Word, done: Done, hops: int = 0) -> None:
-        """An operator's call (kind, base, body as text): settled by the leader, this one or another;
-        ``hops``: how often it was passed on."""
+    def operator_call(self, now: float, order: OperatorOrder, done: Done, hops: int = 0) -> None:
+        """An operator's call: settled by the leader, this one or another; ``hops``: how often it was passed
+        on."""
         if self.core is not None and self.core.replica.is_leader:
-            self._settle_operator(now, self.core, call, done)
+            self._settle_operator(now, self.core, order, done)
             return
         ip = self.core.leader_ip() if self.core is not None else self.subscriber.home_ip()
         if not ip or ip == self.settings.ip or hops >= MOST_HOPS:
             done(AWAY)
             return
-        self._pass_on(ip, "operator", call, done, hops + 1)
+        call = OperatorCall(kind=order.kind, base=order.base, body=order.body, hops=hops + 1)
+        self._pass_on(ip, call, done)
 
     @staticmethod
-    def _settle_operator(now: float, core: Core, call: Word, done: Done) -> None:
+    def _settle_operator(now: float, core: Core, order: OperatorOrder, done: Done) -> None:
         def settle(answer: Answer) -> None:
             done(Settled(answer.status, answer.text, answer.document, problems=answer.problems))
 
-        core.call(now, str(call["kind"]), int(call["base"]), str(call["body"]), settle)
+        core.call(now, order.kind, order.base, order.body, settle)
 
     # Passing on ---------------------------------------------------------------------------
 
-    def _pass_on(self, ip: str, what: str, body: Any, done: Done, hops: int = 1) -> None:
-        def answered(word: Word | None) -> None:
-            done(AWAY if word is None else settled_of(word))
+    def _pass_on(self, ip: str, call: ForwardedCall, done: Done) -> None:
+        def answered(answer: CallAnswer | None) -> None:
+            done(AWAY if answer is None else Settled.told(answer))
+
+        self.forwarding.ask(ip, call, answered)
 
-        self.forwarding.ask(ip, {"what": what, "body": body, "h": hops}, answered)
+    def _server_called(self, now: float, call: ServerCall) -> None:
+        server = server_of(call.id, call.row) if call.row is not None else call.id
+        self.server_call(now, server, self._answers(call))
+
+    def _operator_called(self, now: float, call: OperatorCall) -> None:
+        order = OperatorOrder(call.kind, call.base, call.body)
+        self.operator_call(now, order, self._answers(call), call.hops)
+
+    def _answers(self, call: ForwardedCall) -> Done:
+        """What sends the answer to the limiter that passed a call on."""
 
-    def _called(self, now: float, ip: str, call: Word) -> None:
         def done(settled: Settled) -> None:
-            self.post(ip, answer_to(call, settled.word()))
+            self.post(call.address, settled.answer_to(call))
 
-        body = call["body"]
-        if call["what"] == "server":
-            name, row = body
-            self.server_call(now, server_of(name, row) if row is not None else str(name), done)
-        else:
-            self.operator_call(now, body, done, int(call["h"]))
+        return done
--- a/larklb/gateway/core.py
+++ b/larklb/gateway/core.py
@@ -11,11 +11,13 @@
 from typing import Any
 
 from larklb.consensus.errors import RefusedError
+from larklb.consensus.interface import Answer, Call, Ready
 from larklb.consensus.replica import Replica
 from larklb.consensus.timing import Timing
-from larklb.consensus.words import Answer, Call, Ready
+from larklb.gateway.messages import Message, Raft
 from larklb.gateway.settings import Settings
 from larklb.membership.members import LEAVING, Member
+from larklb.registry.messages import Offer
 from larklb.registry.replica import RegistryReplica
 from larklb.schema import configuration as schema
 from larklb.schema.errors import InvalidError, SchemaError
@@ -25,7 +27,7 @@
 CORES_MS = 1_500.0  # a core machine heard of within this is there, for the group of voters
 FOUND_QUIET_MS = 1_200.0  # the same core machines seen for so long, before a group is founded
 
-Post = Callable[[str, dict[str, Any]], object]
+Post = Callable[[str, Message], object]
 Save = Callable[[Ready], object]
 
 
@@ -78,7 +80,7 @@
         self.seen: tuple[frozenset[str], float] = (frozenset(), now)
         self.waiting: dict[str, Callable[[Answer], object]] = {}
         self.tickets = 0
-        self.offer: list[Any] = [0, ""]
+        self.offer: Offer = (0, "")
         self.told_version = 0
 
     # Operators' calls ---------------------------------------------------------------------
@@ -168,7 +170,7 @@
     def _send(self, ready: Ready) -> None:
         for receiver, message in ready.messages:
             if (ip := self._ip(receiver)) is not None:
-                self.post(ip, {"k": "raft", "d": self.disk, "m": message})
+                self.post(ip, Raft(disk=self.disk, message=message))
         for ticket, answer in ready.answers:
             if (done := self.waiting.pop(ticket, None)) is not None:
                 done(answer)
@@ -188,7 +190,7 @@
         document, version = self.replica.current, self.replica.version
         if document is not None and version != self.told_version and self.replica.confirmed:
             self.told_version = version
-            self.offer = [version, schema.digest(document)]
+            self.offer = (version, schema.digest(document))
             self.home.push(self.now, self.offer, at_once=True)
             self.flush()
 
--- a/larklb/gateway/disk.py
+++ b/larklb/gateway/disk.py
@@ -6,7 +6,7 @@
 import logging
 from concurrent.futures import ThreadPoolExecutor
 
-from larklb.consensus.words import Ready
+from larklb.consensus.interface import Ready
 from larklb.gateway.core import Core
 from larklb.storage.errors import StorageError
 from larklb.storage.store import Store
--- a/larklb/gateway/errors.py
+++ b/larklb/gateway/errors.py
@@ -11,3 +11,11 @@
 
 class AddressError(GatewayError):
     """An address can't be listened on."""
+
+
+class MessageError(GatewayError):
+    """A message of another limiter can't be read. ``protocol``: that of its ``sender``, as far as known."""
+
+    def __init__(self, sender: str, protocol: object, why: str) -> None:
+        super().__init__(why)
+        self.sender, self.protocol = sender, protocol
--- a/larklb/gateway/forwarding.py
+++ b/larklb/gateway/forwarding.py
@@ -7,13 +7,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import Protocol
 
+import msgspec
 from attrs import define, field
 
-Word = dict[str, Any]
-Answered = Callable[[Word | None], object]
+from larklb.gateway.messages import CallAnswer, ForwardedCall, Message
+
+Answered = Callable[[CallAnswer | None], object]
 
 CALL_MS = 850.0  # for an answer of another limiter: callers wait a second
 MOST_PENDING = 1024  # calls that wait at the same time; more are given up at once
@@ -43,39 +45,34 @@
     """Of one process. ``session``: random, of this process alone."""
 
     session: str
-    post: Callable[[str, Word], object]
+    post: Callable[[str, Message], object]
     after: After
     pending: dict[int, Pending] = field(factory=dict)
     last: int = 0
 
-    def ask(self, ip: str, word: Mapping[str, Any], done: Answered) -> None:
-        """Passes a call on; ``done`` is called once, with the answer, or None where none comes in time."""
+    def ask(self, ip: str, call: ForwardedCall, done: Answered) -> None:
+        """Passes a call on, under a number and session of its own; ``done`` is called once, with the answer,
+        or None where none comes in time."""
         if len(self.pending) >= MOST_PENDING:
             done(None)
             return
         self.last += 1
         number = self.last
-        self.pending[number] = call = Pending(ip, done)
-        call.timer = self.after(CALL_MS, lambda: self._give_up(number))
-        self.post(ip, {"k": "call", "n": number, "l": self.session, **word})
+        self.pending[number] = pending = Pending(ip, done)
+        pending.timer = self.after(CALL_MS, lambda: self._give_up(number))
+        self.post(ip, msgspec.structs.replace(call, number=number, session=self.session))
 
     def _give_up(self, number: int) -> None:
-        if (call := self.pending.pop(number, None)) is not None:
-            call.done(None)
-
-    def answered(self, ip: str, word: Word) -> bool:
-        """An answer came from ``ip``; whether it settled a call. KeyError or ValueError where it is none."""
-        number = int(word["n"])
-        call = self.pending.get(number)
-        if call is None or word["l"] != self.session or ip != call.ip:
+        if (pending := self.pending.pop(number, None)) is not None:
+            pending.done(None)
+
+    def answered(self, answer: CallAnswer) -> bool:
+        """An answer has come; whether it settled a call."""
+        pending = self.pending.get(answer.number)
+        if pending is None or answer.session != self.session or answer.address != pending.ip:
             return False
-        del self.pending[number]
-        if call.timer is not None:
-            call.timer.cancel()
-        call.done(word)
+        del self.pending[answer.number]
+        if pending.timer is not None:
+            pending.timer.cancel()
+        pending.done(answer)
         return True
-
-
-def answer_to(call: Mapping[str, Any], settled: Mapping[str, Any]) -> Word:
-    """The word that answers a call of another limiter."""
-    return {"k": "answer", "n": call["n"], "l": call["l"], **settled}
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -28,15 +28,16 @@
 from larklb.consensus.errors import ConsensusError
 from larklb.gateway import settings as told
 from larklb.gateway import status
-from larklb.gateway.control import Control, Settled
-from larklb.gateway.control_plane import KINDS, ControlPlane
+from larklb.gateway.control import Control, OperatorOrder, Settled
+from larklb.gateway.control_plane import ControlPlane
 from larklb.gateway.core import Core
 from larklb.gateway.disk import DiskWriter
 from larklb.gateway.errors import GatewayError, SettingsError
 from larklb.gateway.front import Front, in_force
 from larklb.gateway.listener import Bounds, Listener
+from larklb.gateway.messages import AnyMessage, EstimatesMessage, HandsMessage, QuotaMessage
 from larklb.gateway.servers import Reply, Servers
-from larklb.gateway.transport import Transport, Word
+from larklb.gateway.transport import Transport
 from larklb.membership.members import UP, Member
 from larklb.registry import registry
 from larklb.registry.registry import Server
@@ -195,12 +196,12 @@
         now = self.wheel.now()
         if (hands := self.choice.hand_words(now)) is not None:
             for ip in self.near:
-                self.transport.post(ip, {"k": "hands", "m": hands})
+                self.transport.post(ip, HandsMessage(message=hands))
         if now - self.able_at >= ABLE_MS:
             self.able_at = now
-            able = self.choice.words(now)
+            estimates = EstimatesMessage(message=self.choice.words(now))
             for ip in self.near:
-                self.transport.post(ip, {"k": "able", "m": able})
+                self.transport.post(ip, estimates)
 
     @staticmethod
     def _hear_able(take: Callable[[], object]) -> None:
@@ -219,7 +220,7 @@
         if now - self.noted_at >= NOTES_MS:
             self.noted_at = now
             for number, message in self.quotas.notes(now):
-                self._to_number(number, {"k": "quota", "m": message})
+                self._to_number(number, message)
         if now - self.slow_at >= SLOW_TURN_MS:
             self.slow_at = now
             self.quotas.clean(now)
@@ -246,19 +247,20 @@
         self.settings = evolve(self.settings, seeds=fresh.seeds)
         log.info("gateway: settings read anew.")
 
-    # Words of other limiters --------------------------------------------------------------
+    # Messages of other limiters -----------------------------------------------------------
 
-    def heard(self, word: Word) -> None:
-        """One word; KeyError, TypeError or ValueError where it can't be used."""
-        now, ip, kind = self.wheel.now(), str(word["f"]), word["k"]
-        if kind == "quota":
-            self._quota_word(now, ip, word)
-        elif kind == "hands":
-            self._hear_able(partial(self.choice.hear_hands, now, str(word["s"]), word["m"]))
-        elif kind == "able":
-            self._hear_able(partial(self.choice.hear, now, str(word["s"]), word["m"]))
-        elif kind in KINDS:
-            self.plane.heard(now, word)
+    def heard(self, message: AnyMessage) -> None:
+        """KeyError, TypeError or ValueError where it can't be used."""
+        now = self.wheel.now()
+        match message:
+            case QuotaMessage():
+                self._heard_quota(now, message)
+            case HandsMessage():
+                self._hear_able(partial(self.choice.hear_hands, now, message.sender, message.message))
+            case EstimatesMessage():
+                self._hear_able(partial(self.choice.hear, now, message.sender, message.message))
+            case _:
+                self.plane.heard(now, message)
 
     # Configuration ------------------------------------------------------------------------
 
@@ -339,9 +341,9 @@
         """A server's beat, or the id of one that leaves."""
         return await self._settled(partial(self.plane.server_call, self.wheel.now(), call))
 
-    async def _operator_call(self, call: Word) -> Settled:
+    async def _operator_call(self, order: OperatorOrder) -> Settled:
         """An operator's call."""
-        return await self._settled(partial(self.plane.operator_call, self.wheel.now(), call))
+        return await self._settled(partial(self.plane.operator_call, self.wheel.now(), order))
 
     @staticmethod
     async def _settled(ask: Callable[[Callable[[Settled], object]], object]) -> Settled:
@@ -364,12 +366,12 @@
         verdict: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
         timer = self.wheel.after(asked.give_up_at - now, self._given_up, asked.number)
         self.verdicts[asked.number] = (verdict, timer)
-        self._to_number(asked.owner, {"k": "quota", "m": asked.message})
+        self._to_number(asked.owner, asked.message)
         return await verdict
 
-    def _to_number(self, number: int, word: Word) -> None:
+    def _to_number(self, number: int, message: dict[str, Any]) -> None:
         if (ip := self.by_number.get(number)) is not None:
-            self.transport.post(ip, word)
+            self.transport.post(ip, QuotaMessage(message=message))
 
     def _given_up(self, number: int) -> None:
         self.count["quota.given_up"] += 1
@@ -381,13 +383,13 @@
             if not waiting[0].done():
                 waiting[0].set_result(verdict)
 
-    def _quota_word(self, now: float, ip: str, word: Word) -> None:
-        message = word["m"]
-        sender = self.follower.members.get(str(word["s"]))
-        if message["k"] in ("ask", "back", "hello"):
-            if (answer := self.quotas.asked(now, sender.number if sender else -1, message)) is not None:
-                self.transport.post(ip, {"k": "quota", "m": answer})
-        elif (told := self.quotas.told(now, message)) is not None:
+    def _heard_quota(self, now: float, message: QuotaMessage) -> None:
+        sender = self.follower.members.get(message.sender)
+        if message.message["k"] in ("ask", "back", "hello"):
+            number = sender.number if sender else -1
+            if (answer := self.quotas.asked(now, number, message.message)) is not None:
+                self.transport.post(message.address, QuotaMessage(message=answer))
+        elif (told := self.quotas.told(now, message.message)) is not None:
             self._decided(*told)
 
     # Readiness and the end ----------------------------------------------------------------
--- /dev/null
+++ b/larklb/gateway/messages.py
@@ -0,0 +1,159 @@
+"""All messages between limiters, and how they are encoded: one JSON object a line."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any
+
+import msgspec
+
+from larklb.gateway.errors import MessageError
+from larklb.membership.messages import Message as Message
+from larklb.membership.messages import Row
+from larklb.registry.messages import Offer, RegistryMessage
+from larklb.schema.errors import PROBLEMS_KEPT
+
+PROTOCOL = 2  # of the messages between limiters; another one is not understood
+
+Document = dict[str, Any]
+
+
+class Raft(Message, frozen=True, kw_only=True, tag="raft"):
+    """A message of the replica on ``disk`` to another replica: see ``consensus.messages``."""
+
+    disk: str = msgspec.field(name="d")
+    message: dict[str, Any] = msgspec.field(name="m")
+
+
+class Peek(Message, frozen=True, kw_only=True, tag="peek"):
+    """Asks a core machine for the newest configuration's version."""
+
+
+class ConfigurationOffer(Message, frozen=True, kw_only=True, tag="offer"):
+    """The newest configuration, in answer to ``Peek``."""
+
+    offer: Offer = msgspec.field(name="cfg")
+
+
+class Fetch(Message, frozen=True, kw_only=True, tag="fetch"):
+    """Asks a core machine for the newest configuration; ``version`` is in force at the sender."""
+
+    version: int = msgspec.field(name="v")
+
+
+class Configuration(Message, frozen=True, kw_only=True, tag="config"):
+    """A committed configuration, in answer to ``Fetch``."""
+
+    document: Document = msgspec.field(name="doc")
+
+
+class ForwardedCall(Message, frozen=True, kw_only=True):
+    """A call that its receiver is to settle. The answer repeats ``number`` and ``session``, random of the
+    process that passes the call on."""
+
+    number: int = msgspec.field(default=0, name="n")
+    session: str = msgspec.field(default="", name="l")
+
+
+class ServerCall(ForwardedCall, frozen=True, kw_only=True, tag="server_call"):
+    """A server's heartbeat, or, without ``row``, its end."""
+
+    id: str
+    row: Row | None
+
+
+class OperatorCall(ForwardedCall, frozen=True, kw_only=True, tag="operator_call"):
+    """An operator's call; ``hops``: how often it has been passed on."""
+
+    kind: str
+    base: int
+    body: str
+    hops: int = msgspec.field(name="h")
+
+
+class CallAnswer(Message, frozen=True, kw_only=True, tag="answer"):
+    """What became of a call that was passed on: see ``control.Settled``."""
+
+    number: int = msgspec.field(name="n")
+    session: str = msgspec.field(name="l")
+    status: int = msgspec.field(name="st")
+    text: str = ""
+    document: Document | None = msgspec.field(default=None, name="doc")
+    report_to: str = msgspec.field(default="", name="to")
+    problems: Annotated[tuple[str, ...], msgspec.Meta(max_length=PROBLEMS_KEPT)] = ()
+
+
+class QuotaMessage(Message, frozen=True, kw_only=True, tag="quota"):
+    """A message of the quotas: see ``admission.quotas``."""
+
+    message: dict[str, Any] = msgspec.field(name="m")
+
+
+class HandsMessage(Message, frozen=True, kw_only=True, tag="hands"):
+    """Requests in hand at servers: see ``balancing.load``."""
+
+    message: dict[str, Any] = msgspec.field(name="m")
+
+
+class EstimatesMessage(Message, frozen=True, kw_only=True, tag="able"):
+    """What was found of servers: see ``balancing.estimates``."""
+
+    message: dict[str, Any] = msgspec.field(name="m")
+
+
+ControlMessage = (
+    RegistryMessage
+    | Raft
+    | Peek
+    | ConfigurationOffer
+    | Fetch
+    | Configuration
+    | ServerCall
+    | OperatorCall
+    | CallAnswer
+)
+AnyMessage = ControlMessage | QuotaMessage | HandsMessage | EstimatesMessage
+
+
+class _Header(msgspec.Struct, frozen=True):
+    """What is read of a message that is not understood."""
+
+    kind: Any = msgspec.field(default=None, name="k")
+    sender: Any = msgspec.field(default=None, name="s")
+    protocol: Any = msgspec.field(default=None, name="p")
+
+
+_ENCODER = msgspec.json.Encoder()
+_DECODER: msgspec.json.Decoder[AnyMessage] = msgspec.json.Decoder(AnyMessage)
+_HEADER_DECODER = msgspec.json.Decoder(_Header)
+
+
+def addressed(message: Message, sender: str, address: str) -> AnyMessage:
+    """The message as its sender sends it."""
+    return msgspec.structs.replace(  # type: ignore[return-value]
+        message, sender=sender, address=address, protocol=PROTOCOL
+    )
+
+
+def encode(message: Message) -> bytes:
+    """One line, without its end."""
+    return _ENCODER.encode(message)
+
+
+def decode(line: bytes) -> AnyMessage:
+    """The message of one line. MessageError where it is none, or its sender speaks another
+    protocol."""
+    try:
+        message = _DECODER.decode(line)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise _explained(line, error) from error
+    if message.protocol != PROTOCOL:
+        raise MessageError(message.sender, message.protocol, "another protocol")
+    return message
+
+
+def _explained(line: bytes, error: Exception) -> MessageError:
+    try:
+        header = _HEADER_DECODER.decode(line)
+    except (msgspec.DecodeError, RecursionError):
+        return MessageError("", PROTOCOL, str(error))
+    return MessageError(str(header.sender), header.protocol, f"{header.kind!r}: {error}")
--- a/larklb/gateway/transport.py
+++ b/larklb/gateway/transport.py
@@ -1,7 +1,6 @@
 """Words between limiters: one way, as JSON lines, and they may be lost.
 
-A short word is one datagram; a longer one goes over a connection, which is dropped when it stalls.  ``f`` in
-each word is its sender's address, ``s`` its node.
+A short word is one datagram; a longer one goes over a connection, which is dropped when it stalls.
 """
 
 from __future__ import annotations
@@ -12,13 +11,12 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
-from larklb.gateway.errors import AddressError
+from larklb.gateway import messages
+from larklb.gateway.errors import AddressError, MessageError
+from larklb.gateway.messages import PROTOCOL, AnyMessage, Message
 
 log = logging.getLogger("transport")
 
-PROTOCOL = 2  # of the words between limiters; another one is not understood
 SHORT = 1_300  # bytes of a datagram at the most: more would be cut in pieces on the way
 MOST_LINE = 24 * 1024 * 1024
 MOST_WAITING = 4  # long words to one limiter that wait for its connection; older ones are dropped
@@ -27,11 +25,7 @@
 IDLE_S = 8.0  # without a long word, until its connection ends
 MOST_LINKS = 128  # connections that are taken in
 
-Word = dict[str, Any]
-Heard = Callable[[Word], object]
-
-_ENCODE = msgspec.json.Encoder()
-_DECODE = msgspec.json.Decoder(dict[str, Any])
+Heard = Callable[[AnyMessage], object]
 
 
 class _Datagrams(asyncio.DatagramProtocol):
@@ -69,13 +63,13 @@
         except OSError as error:
             raise AddressError(f"{self.ip}:{self.port}: {error}") from error
 
-    def post(self, ip: str, word: Word) -> None:
-        """Sends a word to a limiter; nobody hears whether it came."""
-        word = {**word, "f": self.ip, "s": self.node, "p": PROTOCOL}
+    def post(self, ip: str, message: Message) -> None:
+        """Sends a message to a limiter; nobody hears whether it came."""
+        message = messages.addressed(message, self.node, self.ip)
         if ip == self.ip:
-            asyncio.get_running_loop().call_soon(self._hear, word)
+            asyncio.get_running_loop().call_soon(self._hear, message)
             return
-        line = _ENCODE.encode(word) + b"\n"
+        line = messages.encode(message) + b"\n"
         self.counts["sent"] += 1
         self.counts["sent_bytes"] += len(line)
         if len(line) <= SHORT:
@@ -138,28 +132,26 @@
         self.counts["heard"] += 1
         self.counts["heard_bytes"] += len(line)
         try:
-            word = _DECODE.decode(line)
-        except msgspec.DecodeError:
+            message = messages.decode(line)
+        except MessageError as error:
             self.counts["unreadable"] += 1
+            self._unreadable(error)
             return
-        self._hear(word)
+        self._hear(message)
 
-    def _hear(self, word: Word) -> None:
-        if word.get("p") != PROTOCOL:
-            self.counts["unreadable"] += 1
-            self._warn_of_protocol(word)
-            return
+    def _hear(self, message: AnyMessage) -> None:
         try:
-            self.heard(word)
+            self.heard(message)
         except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
             self.counts["unreadable"] += 1
-            log.warning("transport: a word %r can't be used: %r.", word.get("k"), error)
-
-    def _warn_of_protocol(self, word: Word) -> None:
-        sender = str(word.get("s"))
-        if sender not in self.other_protocol and len(self.other_protocol) < MOST_LINKS:
-            self.other_protocol.add(sender)
-            log.warning("transport: %s speaks protocol %r, not %d.", sender, word.get("p"), PROTOCOL)
+            log.warning("transport: a %s can't be used: %r.", type(message).__name__, error)
+
+    def _unreadable(self, error: MessageError) -> None:
+        if error.protocol == PROTOCOL:
+            log.warning("transport: a message can't be read: %s.", error)
+        elif error.sender not in self.other_protocol and len(self.other_protocol) < MOST_LINKS:
+            self.other_protocol.add(error.sender)
+            log.warning("transport: %s speaks protocol %r, not %d.", error.sender, error.protocol, PROTOCOL)
 
     async def stop(self) -> None:
         """Ends all links."""
--- a/larklb/lab/check_consensus.py
+++ b/larklb/lab/check_consensus.py
@@ -47,12 +47,12 @@
 from larklb.consensus.founding_protocol import FOUND_MS
 from larklb.consensus.group import HEARD_MS, SILENT_MS
 from larklb.consensus.history import Repeat
+from larklb.consensus.interface import Call, Ready
 from larklb.consensus.log import Log
 from larklb.consensus.membership_change import LEARNER_MS
 from larklb.consensus.messages import AppendEntries, InstallSnapshot, Stamp, VoteRequest
 from larklb.consensus.replica import RETRY_MS, Replica
 from larklb.consensus.timing import Timing
-from larklb.consensus.words import Call, Ready
 
 TIMING = Timing()
 NODES = ("a", "b", "c", "d")  # the last one is there only from the start ``fourth`` on
--- a/larklb/lab/control_breaks.py
+++ b/larklb/lab/control_breaks.py
@@ -12,12 +12,13 @@
 from larklb.consensus import group, replication
 from larklb.consensus.calls import Calls
 from larklb.consensus.history import History, Repeat
+from larklb.consensus.interface import Call, Ready
 from larklb.consensus.log import Log
 from larklb.consensus.messages import PreVote, VoteRequest
 from larklb.consensus.replica import Replica
-from larklb.consensus.words import Call, Ready
 from larklb.gateway.core import Core
-from larklb.gateway.forwarding import Forwarding, Word
+from larklb.gateway.forwarding import Forwarding
+from larklb.gateway.messages import CallAnswer
 from larklb.registry.replica import RegistryReplica
 
 Change = tuple[Any, str, Any]  # the object, the attribute's name, its value without the guard
@@ -73,11 +74,11 @@
 
 
 def _answers_by_number_alone() -> list[Change]:
-    def answered(self: Forwarding, ip: str, word: Word) -> bool:
-        call = self.pending.pop(int(word["n"]), None)
-        if call is None:
+    def answered(self: Forwarding, answer: CallAnswer) -> bool:
+        pending = self.pending.pop(answer.number, None)
+        if pending is None:
             return False
-        call.done(word)
+        pending.done(answer)
         return True
 
     return [(Forwarding, "answered", answered)]
@@ -105,7 +106,7 @@
     def forgetful(self: Replica, *arguments: Any, **named: Any) -> None:
         init(self, *arguments, **named)
         kept = self._hard_state
-        self._hard_state = evolve(kept, term=self._log.end[0], vote="")
+        self._hard_state = evolve(kept, term=0, vote="")
 
     return [(Replica, "__init__", forgetful)]
 
--- a/larklb/lab/control_callers.py
+++ b/larklb/lab/control_callers.py
@@ -14,7 +14,8 @@
 
 from attrs import define, evolve, field
 
-from larklb.gateway.control import Settled
+from larklb.gateway.control import OperatorOrder, Settled
+from larklb.gateway.control_plane import ControlPlane
 from larklb.lab.control_history import BrokenError, History, Order, Read
 from larklb.lab.control_world import WIRE_MS, Machine, World
 from larklb.registry.registry import DRAINING, STEADY, Server
@@ -106,7 +107,7 @@
     def _send(self, order: Order, pause: float) -> None:
         if self.world.now - order.begin > GIVE_UP_MS:
             return
-        word = {"kind": "replace", "base": order.base, "body": order.body}
+        call = OperatorOrder("replace", order.base, order.body)
 
         def answered(settled: Settled | None) -> None:
             if settled is not None and settled.status == 200:
@@ -122,7 +123,7 @@
                 again = min(PAUSE_MS[1], 1.6 * pause)
                 self.world.at(pause, lambda: self._send(order, again))
 
-        self.ask(lambda plane, done: plane.operator_call(self.world.now, dict(word), done), answered)
+        self.ask(lambda plane, done: plane.operator_call(self.world.now, call, done), answered)
 
     def again(self, order: Order) -> None:
         """An order that may long be answered is sent once more, as after a lost answer."""
@@ -143,12 +144,12 @@
             self.known = max(self.known, version)
             done(read)
 
-        word = {"kind": "read", "base": 0, "body": ""}
-        self.ask(lambda plane, told: plane.operator_call(self.world.now, dict(word), told), answered, machine)
+        call = OperatorOrder("read")
+        self.ask(lambda plane, told: plane.operator_call(self.world.now, call, told), answered, machine)
 
     def ask(
         self,
-        act: Callable[[Any, Callable[[Settled], object]], object],
+        act: Callable[[ControlPlane, Callable[[Settled], object]], object],
         answered: Callable[[Settled | None], object],
         machine: Machine | None = None,
     ) -> None:
--- a/larklb/lab/control_day.py
+++ b/larklb/lab/control_day.py
@@ -11,6 +11,7 @@
 
 from attrs import define, field
 
+from larklb.gateway.control import OperatorOrder
 from larklb.lab.control_callers import Operators, Servers
 from larklb.lab.control_history import BrokenError, Read
 from larklb.lab.control_world import Machine, World
@@ -246,7 +247,7 @@
         """An order and a read lie at a machine that stands still."""
         base = self.operators.known
         order = self.operators.order(base, base + 1)
-        word = {"kind": "replace", "base": base, "body": order.body}
+        call = OperatorOrder("replace", base, order.body)
 
         def answered(status: int) -> None:
             if status == 200:
@@ -255,7 +256,7 @@
                 self.operators.history.refuse(order, self.world.now)
 
         self.operators.ask(
-            lambda plane, done: plane.operator_call(self.world.now, dict(word), done),
+            lambda plane, done: plane.operator_call(self.world.now, call, done),
             lambda settled: answered(settled.status if settled is not None else 503),
             machine,
         )
--- a/larklb/registry/replica.py
+++ b/larklb/registry/replica.py
@@ -8,7 +8,6 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
-from typing import Any
 
 import xxhash
 from attrs import define, field
@@ -16,8 +15,21 @@
 from larklb.changefeed.table import Event, Table
 from larklb.membership import members as membership
 from larklb.membership.members import Heard, Member, Members, member_of
+from larklb.membership.messages import Message, Row, Rows
 from larklb.quota.ring import digest
 from larklb.registry import registry as servers
+from larklb.registry.messages import (
+    Beat,
+    Delta,
+    Has,
+    NotReady,
+    Offer,
+    Ranges,
+    RowsHeard,
+    RowsKnown,
+    Sync,
+    Synced,
+)
 from larklb.registry.registry import Registry, Server, server_of
 
 ALONE_MS = 1_000.0  # without an echo from a majority for so long, this machine counts as cut off
@@ -32,7 +44,9 @@
 WAIT_MS = 1_000.0  # ... and in which it waits for any other
 SYNC_BATCH = 2_000  # renewals in one word at the most; the rest follows in another
 
-Words = list[tuple[str, dict[str, Any]]]
+PLEDGE_MS = 800.0  # for a majority to know a change: callers wait a second
+
+Outgoing = list[tuple[str, Message]]  # by the receiver's address
 
 
 def range_of(key: str) -> int:
@@ -57,7 +71,7 @@
 class Pledge:
     """A change that is to be known by a majority of the core before it is acknowledged."""
 
-    row: dict[str, Any]
+    row: Row
     key: str
     done: Callable[[bool], object]
     until: float
@@ -80,7 +94,7 @@
     voters: Mapping[str, str] = field(factory=dict)  # disk ids and nodes, of the group
     ready: bool = False  # its table may be told
     echoed: dict[str, float] = field(factory=dict)  # when sent what each core disk has echoed last
-    out: Words = field(factory=list)
+    out: Outgoing = field(factory=list)
     pledges: dict[int, Pledge] = field(factory=dict)
     pledged: int = 0
     synced_at: float = -math.inf
@@ -116,7 +130,7 @@
             if h.member.disk and n != self.me.node and now - h.at <= membership.FORGET_MS / 2
         ]
 
-    def _tell_core(self, now: float, message: dict[str, Any]) -> None:
+    def _tell_core(self, now: float, message: Message) -> None:
         self.out.extend((h.member.ip, message) for h in self._others(now))
 
     # Limiters -----------------------------------------------------------------------------
@@ -126,7 +140,7 @@
         if self.members.heard(now, member, direct):
             self._member(member.node)
             row = self.members.of[member.node].member.row()
-            self._tell_core(now, {"k": "rows", "m": [[member.node, row]], "v": []})
+            self._tell_core(now, RowsHeard(members=[(member.node, row)], servers=[]))
 
     def meet(self, now: float, core: Member) -> None:
         """A core machine was named by somebody: it is spoken to, and shows itself whether it is there."""
@@ -135,36 +149,36 @@
             self._member(core.node)
             self.synced_at = -math.inf
 
-    def beat(self, now: float, ip: str, message: Mapping[str, Any], config: list[Any]) -> None:
+    def beat(self, now: float, message: Beat, offer: Offer) -> None:
         """A limiter's beat, as its home: what has changed goes back, at least that this home lives."""
-        node = str(message["s"])
-        member = member_of(node, message["m"])
+        node, ip = message.sender, message.address
+        member = member_of(node, message.member)
         self.told_of(now, member, True)
         known = self.members.of.get(node)
         if known is None or not self.ready or self.fenced(now):
-            self.out.append((ip, {"k": "delta", "l": self.me.life, "wait": True}))
+            self.out.append((ip, NotReady()))
             return
         sub = self.subscribers.get(node)
         if sub is None or sub.life != member.life:
             sub = self.subscribers[node] = Subscription(ip, member.life, now)
         sub.ip, sub.at = ip, now
-        have = int(message["have"]) if message.get("of") == [self.me.node, self.me.life] else 0
+        have = message.have if message.of == (self.me.node, self.me.life) else 0
         if have < sub.have:  # it begins anew
             sub.pushed_at = -math.inf
         sub.have = have
         if have >= self.table.rev or self._may_push(now, sub):
-            self._push(now, sub, known.member, config)
+            self._push(now, sub, known.member, offer)
         else:  # what it lacks is under way
-            self.out.append((sub.ip, self._delta(known.member, have, have, [], config)))
+            self.out.append((sub.ip, self._delta(known.member, have, have, [], offer)))
 
-    def has(self, now: float, message: Mapping[str, Any]) -> None:
+    def has(self, message: Has) -> None:
         """A subscriber has taken changes up to a revision."""
-        sub = self.subscribers.get(str(message["s"]))
-        if sub is not None and message.get("of") == [self.me.node, self.me.life]:
-            sub.have = max(sub.have, int(message["have"]))
+        sub = self.subscribers.get(message.sender)
+        if sub is not None and message.of == (self.me.node, self.me.life):
+            sub.have = max(sub.have, message.have)
             sub.again = AGAIN_MS
 
-    def _push(self, now: float, sub: Subscription, member: Member, config: list[Any]) -> None:
+    def _push(self, now: float, sub: Subscription, member: Member, offer: Offer) -> None:
         events = self.table.since(sub.have)
         start = sub.have
         if events is None:
@@ -175,21 +189,18 @@
             if sub.pushed > sub.have:  # that was told before, and did not come or is still on its way
                 sub.again = min(AGAIN_MOST_MS, 2.0 * sub.again)
             sub.pushed, sub.pushed_at = to, now
-        self.out.append((sub.ip, self._delta(member, start, to, part, config)))
-
-    def _delta(
-        self, member: Member, start: int, to: int, part: list[Event], config: list[Any]
-    ) -> dict[str, Any]:
-        return {
-            "k": "delta",
-            "l": self.me.life,
-            "from": start,
-            "to": to,
-            "head": self.table.rev,
-            "rows": [[e.kind, e.key, e.row] for e in part],
-            "cfg": config,
-            "you": [member.number, member.granted, member.life],
-        }
+        self.out.append((sub.ip, self._delta(member, start, to, part, offer)))
+
+    def _delta(self, member: Member, start: int, to: int, part: list[Event], offer: Offer) -> Delta:
+        return Delta(
+            life=self.me.life,
+            start=start,
+            to=to,
+            head=self.table.rev,
+            rows=[(event.kind, event.key, event.row) for event in part],
+            offer=offer,
+            you=(member.number, member.granted, member.life),
+        )
 
     @staticmethod
     def _may_push(now: float, sub: Subscription) -> bool:
@@ -210,7 +221,7 @@
         )
         return heard * 2 <= len(self.voters)
 
-    def push(self, now: float, config: list[Any], at_once: bool = False) -> None:
+    def push(self, now: float, offer: Offer, at_once: bool = False) -> None:
         """Tells each subscriber that lacks something, again after a while; ``at_once``: the configuration is
         a new one, and all are told."""
         silent = not self.ready or self.fenced(now)
@@ -221,7 +232,7 @@
                 continue
             if at_once or sub.have < self.table.rev and self._may_push(now, sub):
                 if not silent and known.member.state != membership.DOWN:
-                    self._push(now, sub, known.member, config)
+                    self._push(now, sub, known.member, offer)
 
     # Servers ------------------------------------------------------------------------------
 
@@ -239,7 +250,7 @@
             self._pledge(now, known.server, done)
             return
         if changed:
-            self._tell_core(now, {"k": "rows", "m": [], "v": [[told.id, known.server.row()]]})
+            self._tell_core(now, RowsHeard(members=[], servers=[(told.id, known.server.row())]))
         done(not self.fenced(now))
 
     def leave(self, now: float, name: str, done: Callable[[bool], object]) -> None:
@@ -254,22 +265,21 @@
 
     def _pledge(self, now: float, server: Server, done: Callable[[bool], object]) -> None:
         self.pledged += 1
-        pledge = Pledge(server.row(), server.id, done, now + 800.0, {self.me.disk})
+        pledge = Pledge(server.row(), server.id, done, now + PLEDGE_MS, {self.me.disk})
         self.pledges[self.pledged] = pledge
         self._ask_core(now, self.pledged, pledge)
         self._settle(self.pledged, pledge)
 
     def _ask_core(self, now: float, number: int, pledge: Pledge) -> None:
-        self._tell_core(
-            now, {"k": "rows", "m": [], "v": [[pledge.key, pledge.row]], "ask": number, "l": self.me.life}
-        )
+        servers = [(pledge.key, pledge.row)]
+        self._tell_core(now, RowsHeard(members=[], servers=servers, ask=number, life=self.me.life))
 
-    def pledge_known(self, now: float, message: Mapping[str, Any]) -> None:
+    def rows_known(self, message: RowsKnown) -> None:
         """Another core machine has a change in its memory."""
-        pledge = self.pledges.get(int(message["ask"]))
-        if pledge is not None and message["l"] == self.me.life:
-            pledge.by.add(str(message["d"]))
-            self._settle(int(message["ask"]), pledge)
+        pledge = self.pledges.get(message.ask)
+        if pledge is not None and message.life == self.me.life:
+            pledge.by.add(message.disk)
+            self._settle(message.ask, pledge)
 
     def _settle(self, number: int, pledge: Pledge) -> None:
         voters = self.voters or {h.member.disk: n for n, h in self.members.of.items() if h.member.disk}
@@ -279,66 +289,65 @@
 
     # Other core machines ------------------------------------------------------------------
 
-    def rows(self, now: float, ip: str, message: Mapping[str, Any]) -> None:
+    def rows_heard(self, now: float, message: RowsHeard) -> None:
         """Rows that another core machine has just heard."""
-        self._merge(now, message, True)
-        if "ask" in message:
-            self.out.append((ip, {"k": "known", "ask": message["ask"], "l": message["l"], "d": self.me.disk}))
+        self._merge(now, message.members, message.servers, True)
+        if message.ask is not None:
+            known = RowsKnown(ask=message.ask, life=message.life, disk=self.me.disk)
+            self.out.append((message.address, known))
 
-    def _merge(self, now: float, message: Mapping[str, Any], fresh: bool) -> None:
-        for node, row in message["m"]:
+    def _merge(self, now: float, members: Rows, servers: Rows, fresh: bool) -> None:
+        for node, row in members:
             if self.members.heard(now, member_of(node, row), False, fresh):
                 self._member(node)
-        for name, row in message["v"]:
+        for name, row in servers:
             if self.registry.heard(now, server_of(name, row), False, fresh):
                 self._server(name)
 
-    def sync(self, now: float, ip: str, message: Mapping[str, Any]) -> None:
+    def sync(self, now: float, message: Sync) -> None:
         """Another core machine's regular word: whom it hears, and its digests."""
-        node = str(message["s"])
-        self.out.append((ip, {"k": "synced", "d": self.me.disk, "l": message["me"]["l"], "t": message["t"]}))
-        self.told_of(now, member_of(node, message["me"]), False)
-        if message["ready"]:
-            self.ready_cores[node] = now
+        sender = member_of(message.sender, message.me)
+        echo = Synced(disk=self.me.disk, life=sender.life, sent_at=message.sent_at)
+        self.out.append((message.address, echo))
+        self.told_of(now, sender, False)
+        if message.ready:
+            self.ready_cores[sender.node] = now
         self.met = True
-        for other, life in message["m"]:
-            if self.members.renewed(now, other, life):
-                self._member(other)
-        for name, sequence in message["v"]:
+        for node, life in message.lives:
+            if self.members.renewed(now, node, life):
+                self._member(node)
+        for name, sequence in message.sequences:
             if self.registry.renewed(now, name, sequence):
                 self._server(name)
-        mine = self._digests()
-        differ = [r for r in range(RANGES) if mine[r] != message["dg"][r]]
+        mine, theirs = self._digests(), dict(enumerate(message.digests))
+        differ = [r for r in range(RANGES) if mine[r] != theirs.get(r)]
         if differ:
-            self.out.append((ip, {"k": "range", "r": differ, "again": True, **self._rows_of(differ)}))
-        elif message["ready"]:
+            self.out.append((message.address, self._ranges(differ, again=True)))
+        elif message.ready:
             self.ready = True
 
-    def synced(self, message: Mapping[str, Any]) -> None:
+    def synced(self, message: Synced) -> None:
         """Another core machine echoes the time at which a word of this life was sent."""
-        if int(message["l"]) == self.me.life:
-            disk = str(message["d"])
-            self.echoed[disk] = max(self.echoed.get(disk, self.born), float(message["t"]))
+        if message.life == self.me.life:
+            before = self.echoed.get(message.disk, self.born)
+            self.echoed[message.disk] = max(before, message.sent_at)
 
-    def ranges(self, now: float, ip: str, message: Mapping[str, Any]) -> None:
+    def ranges(self, now: float, message: Ranges) -> None:
         """All rows that another core machine has in some ranges: the newer of each stays."""
-        self._merge(now, message, False)
-        if message.get("again"):
-            differ = [int(r) for r in message["r"]]
-            self.out.append((ip, {"k": "range", "r": differ, **self._rows_of(differ)}))
+        self._merge(now, message.members, message.servers, False)
+        if message.again:
+            self.out.append((message.address, self._ranges(message.ranges, again=False)))
 
-    def _rows_of(self, ranges: Iterable[int]) -> dict[str, Any]:
+    def _ranges(self, ranges: Iterable[int], again: bool) -> Ranges:
         wanted = set(ranges)
-        return {
-            "m": [
-                [n, h.member.row()] for n, h in self.members.of.items() if range_of(n) in wanted and not h.old
-            ],
-            "v": [
-                [n, k.server.row()]
-                for n, k in self.registry.of.items()
-                if range_of(n) in wanted and not k.old
-            ],
-        }
+        members = {n: h.member for n, h in self.members.of.items() if not h.old}
+        known = {n: k.server for n, k in self.registry.of.items() if not k.old}
+        return Ranges(
+            ranges=sorted(wanted),
+            again=again,
+            members=[(n, member.row()) for n, member in members.items() if range_of(n) in wanted],
+            servers=[(n, server.row()) for n, server in known.items() if range_of(n) in wanted],
+        )
 
     def _digests(self) -> list[str]:
         if self.digests is None:
@@ -355,30 +364,27 @@
 
     def _sync_out(self, now: float) -> None:
         last, self.synced_at = max(self.synced_at, self.born), now
-        heard = [[n, h.member.life] for n, h in self.members.of.items() if h.direct >= last]
-        beats = [[n, k.server.sequence] for n, k in self.registry.of.items() if k.direct >= last]
+        heard = [(n, h.member.life) for n, h in self.members.of.items() if h.direct >= last]
+        beats = [(n, k.server.sequence) for n, k in self.registry.of.items() if k.direct >= last]
         for start in range(0, max(1, len(heard), len(beats)), SYNC_BATCH):
             part = slice(start, start + SYNC_BATCH)
-            self._tell_core(
-                now,
-                {
-                    "k": "sync",
-                    "me": self.me.row(),
-                    "ready": self.ready and not self.fenced(now),
-                    "t": now,
-                    "m": heard[part],
-                    "v": beats[part],
-                    "dg": self._digests(),
-                },
+            sync = Sync(
+                me=self.me.row(),
+                ready=self.ready and not self.fenced(now),
+                sent_at=now,
+                lives=heard[part],
+                sequences=beats[part],
+                digests=self._digests(),
             )
+            self._tell_core(now, sync)
 
     # Time ---------------------------------------------------------------------------------
 
     def tick(
-        self, now: float, me: Member, voters: Mapping[str, str], epoch: int | None, config: list[Any]
+        self, now: float, me: Member, voters: Mapping[str, str], epoch: int | None, offer: Offer
     ) -> None:
-        """Called every 50 ms or so; ``epoch`` where this one has the leader's duty, ``config``: the newest
-        version and its digest."""
+        """Called every 50 ms or so; ``epoch`` where this one has the leader's duty, ``offer``: the newest
+        configuration."""
         self.me, self.voters = me, voters
         self.echoed = {disk: at for disk, at in self.echoed.items() if disk in voters}
         self.told_of(now, me, True)
@@ -390,9 +396,8 @@
             if epoch is not None:
                 for node in self.members.number(epoch):
                     self._member(node)
-                    self._tell_core(
-                        now, {"k": "rows", "v": [], "m": [[node, self.members.of[node].member.row()]]}
-                    )
+                    row = self.members.of[node].member.row()
+                    self._tell_core(now, RowsHeard(members=[(node, row)], servers=[]))
             self._sync_out(now)
         for number, pledge in list(self.pledges.items()):
             if now >= pledge.until:
@@ -405,4 +410,4 @@
         ):
             # Nobody knows more.  Limiters keep for a while what a former home knew and this one does not.
             self.ready = True
-        self.push(now, config)
+        self.push(now, offer)
--- a/larklb/registry/subscriber.py
+++ b/larklb/registry/subscriber.py
@@ -6,14 +6,16 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, evolve, field
 
 from larklb.membership.members import BEAT_MS, LEAVING, UP, Member, member_of, order
+from larklb.membership.messages import Row, Rows
+from larklb.registry.messages import Beat, Cores, Delta, Has, Hello, NotReady, Offer
 from larklb.registry.registry import GONE, Server, merged, server_of
-from larklb.registry.replica import Words
+from larklb.registry.replica import Outgoing
 
 HELLO_MS = 120.0  # between words to the seeds while there is no home, ...
 HELLO_CALM_MS = 2_000.0  # ... and while there is one, from a core machine: others must find it
@@ -39,7 +41,7 @@
     me: Member
     seeds: list[str]  # addresses of limiters that may know core machines
     scale: float = 1.0  # of the times below: less than 1 where machines count as in touch sooner than 3 s
-    out: Words = field(factory=list)
+    out: Outgoing = field(factory=list)
     cores: dict[str, Core] = field(factory=dict)
     home: str = ""
     life: int = 0  # of the home
@@ -55,7 +57,7 @@
     unsure_members: dict[str, float] = field(factory=dict)
     fresh: dict[str, Server] = field(factory=dict)  # while a table is seen for the first time
     fresh_members: dict[str, Member] = field(factory=dict)
-    offered: tuple[int, str] = (0, "")  # the newest configuration: version and digest
+    offered: Offer = (0, "")
     have_version: int = 0
     changed: Callable[[], object] = bool  # called after members or servers have changed
 
@@ -73,25 +75,25 @@
                 known.member = member
             known.at = max(known.at, now)
 
-    def hello(self, now: float, ip: str, message: Mapping[str, Any]) -> None:
+    def hello(self, now: float, message: Hello) -> None:
         """Another limiter looks for core machines."""
-        told = member_of(str(message["s"]), message["m"])
+        told = member_of(message.sender, message.member)
         if told.disk:
             self.core(now, told)
-        self.out.append((ip, {"k": "cores", "c": self._cores(now)}))
+        self.out.append((message.address, Cores(cores=self._cores(now))))
 
-    def told_cores(self, now: float, message: Mapping[str, Any]) -> None:
+    def told_cores(self, now: float, message: Cores) -> None:
         """Core machines that another limiter knows."""
-        for node, row in message["c"]:
+        for node, row in message.cores:
             if node not in self.cores:
                 self.core(now, member_of(node, row))
         if not self.home:
             self.tick(now)
 
-    def _cores(self, now: float) -> list[list[Any]]:
+    def _cores(self, now: float) -> Rows:
         if self.me.disk:
             self.core(now, self.me)
-        return [[n, c.member.row()] for n, c in self.cores.items() if now - c.at < CORES_MS]
+        return [(n, c.member.row()) for n, c in self.cores.items() if now - c.at < CORES_MS]
 
     def _up(self, node: str) -> bool:
         """Whether the home told of it as up: it says so once, and again only when that changes."""
@@ -115,8 +117,8 @@
         every = HELLO_CALM_MS if self.whole else HELLO_MS
         if (not self.whole or self.me.disk) and now - self.hello_at >= every:
             self.hello_at = now
-            word = {"k": "hello", "s": self.me.node, "m": self.me.row()}
-            self.out.extend((seed, word) for seed in self.seeds if seed != self.me.ip)
+            hello = Hello(member=self.me.row())
+            self.out.extend((seed, hello) for seed in self.seeds if seed != self.me.ip)
         if self.home and now - self.heard > self.scale * SILENT_MS:
             if self.home in self.cores:
                 self.cores[self.home].shunned = now + self.scale * SHUN_MS
@@ -152,19 +154,9 @@
         if self.home not in self.cores:
             return
         self.beat_at = now
-        self.out.append(
-            (
-                self.cores[self.home].member.ip,
-                {
-                    "k": "beat",
-                    "s": self.me.node,
-                    "m": self.me.row(),
-                    "of": [self.home, self.life],
-                    "have": self.have,
-                    "cv": self.have_version,
-                },
-            )
-        )
+        of = (self.home, self.life)
+        beat = Beat(member=self.me.row(), of=of, have=self.have, version=self.have_version)
+        self.out.append((self.cores[self.home].member.ip, beat))
 
     def another_core(self, now: float, chance: float) -> str:
         """The address of some core machine beside the home, empty where none is known."""
@@ -181,50 +173,54 @@
 
     # What comes back ----------------------------------------------------------------------
 
-    def delta(self, now: float, message: Mapping[str, Any]) -> None:
-        """A word of the home."""
-        if str(message["s"]) != self.home:
-            return
+    def _heard_home(self, now: float, sender: str) -> bool:
+        """A message came; whether it is of the home."""
+        if sender != self.home:
+            return False
         self.heard = now
         if self.home in self.cores:
             self.cores[self.home].at = now
-        if message.get("wait"):  # it has just started: another home knows more
-            if any(c.shunned <= now for n, c in self.cores.items() if n != self.home):
-                self.cores[self.home].shunned = now + self.scale * SHUN_MS / 2
-                self._turn_to(now, self._next_home(now))
+        return True
+
+    def not_ready(self, now: float, message: NotReady) -> None:
+        """The home sends its subscribers to another one that knows more, where there is one."""
+        if not self._heard_home(now, message.sender):
+            return
+        if any(c.shunned <= now for n, c in self.cores.items() if n != self.home):
+            self.cores[self.home].shunned = now + self.scale * SHUN_MS / 2
+            self._turn_to(now, self._next_home(now))
+
+    def delta(self, now: float, message: Delta) -> None:
+        """The home's table has changed, or the home shows that it lives."""
+        if not self._heard_home(now, message.sender):
             return
-        life, start = int(message["l"]), int(message["from"])
+        life, start = message.life, message.start
         if life != self.life or not start and self.have:
             if start:
                 return  # of a life of which nothing is known yet
             self.life, self.have, self.whole = life, 0, False
             self.fresh, self.fresh_members = {}, {}
-        number, granted, known_life = message["you"]
+        number, granted, known_life = message.you
         if known_life > self.me.life:  # this node's clock went back: a former life looks newer
             self.me = evolve(self.me, life=known_life + 1)
         if granted > self.me.granted:
             self.me = evolve(self.me, number=number, granted=granted)
-        version, digest = message["cfg"]
-        if version > self.offered[0]:
-            self.offered = (version, digest)
+        if message.offer[0] > self.offered[0]:
+            self.offered = message.offer
         if start != self.have:
             return
-        for kind, key, row in message["rows"]:
+        for kind, key, row in message.rows:
             self._take(now, kind, key, row)
-        self.have = int(message["to"])  # not before: rows that can't be read are to come again
-        if self.have >= message["head"] and not self.whole:
+        self.have = message.to  # not before: rows that can't be read are to come again
+        if self.have >= message.head and not self.whole:
             self._seen_whole(now)
-        if message["rows"]:
-            self.out.append(
-                (
-                    self.home_ip(),
-                    {"k": "has", "s": self.me.node, "of": [self.home, self.life], "have": self.have},
-                )
-            )
+        if message.rows:
+            has = Has(of=(self.home, self.life), have=self.have)
+            self.out.append((self.home_ip(), has))
             if self.whole:
                 self.changed()
 
-    def _take(self, now: float, kind: str, key: str, row: dict[str, Any] | None) -> None:
+    def _take(self, now: float, kind: str, key: str, row: Row | None) -> None:
         if kind == "m":
             members = self.members if self.whole else self.fresh_members
             if row is None:
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -14,6 +14,8 @@
 from larklb.lab.control_faults import Task, main, played, tasks
 from larklb.lab.control_history import BrokenError, History, Order, Read
 
+pytestmark = pytest.mark.simulation
+
 SHORT_MS = 5_000.0
 QUICKLY_FOUND = ("history-of-few", "group-stays-as-founded", "repeats-not-known", "base-not-compared")
 
