A restarted home is ready once it has what differed, and whoever finds it learns of all

A home counted as ready only where its digests were equal to another's in one moment; each home drops rows of servers that have left from its digests by an age that it counts itself, so that with some churn they differ for up to 15 s after a start. And a core machine told those who asked it only of core machines that itself had met as a subscriber, not of those that its registry replica knows.

Change: a home is ready once a ready one has sent it all rows of the ranges that differed, in answer to digests of this life (`Ranges.compared`; an answer to the process before must not count, its digests were of more rows). A core machine's subscriber takes up the core machines that its registry replica has heard lately.

Ruled out: counting ages alike on all machines (a clock that would have to be agreed on); dropping aged rows as they are merged (they would come back from whoever is younger).

--- a/larklb/gateway/control_plane.py
+++ b/larklb/gateway/control_plane.py
@@ -99,6 +99,8 @@
         if self.core is not None:
             self.core.tick(now, self.subscriber.me)
             self.core.flush()
+            for heard in self.core.home.cores(now):  # so that whoever asks here learns of them
+                self.subscriber.core(heard.at, heard.member)
             self._take_own(now, self.core)
         self.subscriber.have_version = self.version()
         self.subscriber.tick(now)
--- a/larklb/registry/messages.py
+++ b/larklb/registry/messages.py
@@ -102,12 +102,17 @@
 
 
 class Ranges(Message, frozen=True, kw_only=True, tag="range"):
-    """All rows of some ranges, whose digests differed; ``again``: the receiver is to send its own back."""
+    """All rows of some ranges, whose digests differed: those of the receiver were of its life ``compared``;
+    ``life``: the sender's; ``ready``: its table may be told; ``again``: the receiver is to send its own
+    back."""
 
     ranges: list[int] = msgspec.field(name="r")
     members: Rows = msgspec.field(name="m")
     servers: Rows = msgspec.field(name="v")
-    again: bool = False
+    life: int = msgspec.field(name="l")
+    compared: int
+    ready: bool
+    again: bool
 
 
 CoreMessage = Beat | Has | RowsHeard | RowsKnown | Sync | Synced | Ranges  # at a core machine
--- a/larklb/registry/replica.py
+++ b/larklb/registry/replica.py
@@ -130,6 +130,14 @@
             if h.member.disk and n != self.me.node and now - h.at <= membership.FORGET_MS / 2
         ]
 
+    def cores(self, now: float) -> list[Heard]:
+        """The other core machines that were heard of lately."""
+        return [
+            heard
+            for heard in self.members.of.values()
+            if heard.member.disk and heard.member.node != self.me.node and now - heard.at <= KNOWN_MS
+        ]
+
     def _tell_core(self, now: float, message: Message) -> None:
         self.out.extend((h.member.ip, message) for h in self._others(now))
 
@@ -322,7 +330,8 @@
         mine, theirs = self._digests(), dict(enumerate(message.digests))
         differ = [r for r in range(RANGES) if mine[r] != theirs.get(r)]
         if differ:
-            self.out.append((message.address, self._ranges(differ, again=True)))
+            ranges = self._ranges(now, differ, compared=sender.life, again=True)
+            self.out.append((message.address, ranges))
         elif message.ready:
             self.ready = True
 
@@ -333,17 +342,27 @@
             self.echoed[message.disk] = max(before, message.sent_at)
 
     def ranges(self, now: float, message: Ranges) -> None:
-        """All rows that another core machine has in some ranges: the newer of each stays."""
+        """All rows that another core machine has in some ranges: the newer of each stays.
+
+        If its table may be told, then so may this one's: in all other ranges the two were the same, in this
+        life of this machine. To wait for equal digests could take long, as each machine drops old rows from
+        its own by itself."""
         self._merge(now, message.members, message.servers, False)
+        if message.ready and message.compared == self.me.life:
+            self.ready = True
         if message.again:
-            self.out.append((message.address, self._ranges(message.ranges, again=False)))
+            ranges = self._ranges(now, message.ranges, compared=message.life, again=False)
+            self.out.append((message.address, ranges))
 
-    def _ranges(self, ranges: Iterable[int], again: bool) -> Ranges:
+    def _ranges(self, now: float, ranges: Iterable[int], compared: int, again: bool) -> Ranges:
         wanted = set(ranges)
         members = {n: h.member for n, h in self.members.of.items() if not h.old}
         known = {n: k.server for n, k in self.registry.of.items() if not k.old}
         return Ranges(
             ranges=sorted(wanted),
+            life=self.me.life,
+            compared=compared,
+            ready=self._may_tell(now),
             again=again,
             members=[(n, member.row()) for n, member in members.items() if range_of(n) in wanted],
             servers=[(n, server.row()) for n, server in known.items() if range_of(n) in wanted],
@@ -362,6 +381,9 @@
             self.digests = [h.hexdigest() for h in hashes]
         return self.digests
 
+    def _may_tell(self, now: float) -> bool:
+        return self.ready and not self.fenced(now)
+
     def _sync_out(self, now: float) -> None:
         last, self.synced_at = max(self.synced_at, self.born), now
         heard = [(n, h.member.life) for n, h in self.members.of.items() if h.direct >= last]
@@ -370,7 +392,7 @@
             part = slice(start, start + SYNC_BATCH)
             sync = Sync(
                 me=self.me.row(),
-                ready=self.ready and not self.fenced(now),
+                ready=self._may_tell(now),
                 sent_at=now,
                 lives=heard[part],
                 sequences=beats[part],
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -17,7 +17,7 @@
 from larklb.gateway.messages import PROTOCOL, CallAnswer, Message, OperatorCall, Peek, ServerCall
 from larklb.gateway.transport import Transport
 from larklb.membership.members import GRANTS, Member, Members
-from larklb.registry.messages import Beat, NotReady, RowsHeard, Synced
+from larklb.registry.messages import Beat, NotReady, Ranges, RowsHeard, Synced
 from larklb.registry.registry import Server
 from larklb.registry.replica import RegistryReplica
 from larklb.storage.store import Store
@@ -143,6 +143,19 @@
     assert [message for ip, message in home.out if ip == "n"] == [NotReady()]
 
 
+@pytest.mark.parametrize("ready", [True, False])
+def test_rows_make_a_home_ready_where_they_follow_from_digests_of_its_life(ready: bool) -> None:
+    """The process before had more rows: what differed from its digests is not all that this one lacks."""
+    for compared in (0, 1):
+        home = core_machine()
+        home.ready = False
+        home.ranges(10.0, Ranges(sender="b", address="b", ranges=[1], members=[], servers=[], life=5,
+                                 compared=compared, ready=ready, again=True))
+        assert home.ready == (ready and compared == home.me.life)
+        answer = home.out[-1][1]
+        assert isinstance(answer, Ranges) and answer.compared == 5 and not answer.again
+
+
 def test_numbers_of_an_older_epoch_lose() -> None:
     """A leader that was frozen grants under its old epoch; the newer one's grants stand."""
     old, new = Members(), Members()
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -909,6 +909,18 @@
     assert "s2" in home.registry.of and other in home.members.of
 
 
+@pytest.mark.parametrize("after", range(13_600, 15_400, 200))
+def test_a_home_that_starts_is_ready_though_its_rows_age_at_other_times(after: int) -> None:
+    """Rows of servers that have left are dropped from digests by age, which each home counts by itself."""
+    net = calm(3)
+    net.leave("s0")
+    net.run(float(after))
+    net.restart("m1")
+    net.run(1_500)
+    home = net.nodes["m1"].home
+    assert home is not None and home.ready
+
+
 def test_tables_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(registry, "MOST_SERVERS", 5)
     monkeypatch.setattr(membership, "MOST_MEMBERS", 5)
