A subscriber leaves its home for none that this home says is down

Each try of a dead one costs 1.1 s without a table. After three replacements a limiter whose order begins with the dead ones went from one to the next and had no home for seconds, again and again, for the 30 s in which a core machine is remembered: it learnt neither of configurations nor of drains.

Change: of the core machines that aren't shunned, those come first that the last home didn't tell of as down or leaving; one that is down is tried only where no other is left. When it is back the home says so.

--- a/larklb/registry/subscriber.py
+++ b/larklb/registry/subscriber.py
@@ -100,12 +100,18 @@
         member = self.members.get(node)
         return member is not None and member.state == UP
 
+    def _down(self, node: str) -> bool:
+        """Whether the last home that told of it took it for down, or about to end."""
+        member = self.members.get(node)
+        return member is not None and member.state != UP
+
     def _next_home(self, now: float) -> str:
         known = {n: c for n, c in self.cores.items() if now - c.at < CORES_MS or self._up(n)}
         ranked = order(self.me.node, self.me.zone, (c.member for c in known.values()))
         free = [m.node for m in ranked if known[m.node].shunned <= now]
         if free:
-            return free[0]
+            # One that is down costs the time until it counts as silent: only where no other is left.
+            return next((node for node in free if not self._down(node)), free[0])
         return min(ranked, key=lambda m: known[m.node].shunned).node if ranked else ""
 
     # Beats --------------------------------------------------------------------------------
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -23,7 +23,7 @@
 from larklb.gateway.errors import MessageError
 from larklb.gateway.messages import CallAnswer, ServerCall
 from larklb.membership import members as membership
-from larklb.membership.members import LEAVING, UP, Member, Members, member_of
+from larklb.membership.members import DOWN, LEAVING, UP, Member, Members, member_of
 from larklb.membership.messages import Message, Rows
 from larklb.registry import registry
 from larklb.registry import subscriber as follower_module
@@ -921,6 +921,40 @@
     assert home is not None and home.ready
 
 
+def test_a_subscriber_stays_at_its_home_while_that_says_a_better_one_is_down() -> None:
+    """To try one after the other of those that have been replaced would leave it without a home each time."""
+    follower = Subscriber(Member("a0", "10.0.0.9", "z", 1), [])
+    cores = {name: Member(name, f"10.0.0.{name[1]}", "z", 1, f"disk-{name}") for name in ("m0", "m1", "m2")}
+    for core in cores.values():
+        follower.core(0.0, core)
+    revision = {name: 0 for name in cores}
+
+    def told(now: float, states: dict[str, str]) -> None:
+        home, start = follower.home, follower.have
+        revision[home] += 1
+        rows = [("m", name, evolve(cores[name], state=state).row()) for name, state in states.items()]
+        follower.delta(now, Delta(sender=home, life=1, start=start, to=start + 1, head=start + 1, rows=rows,
+                                  offer=(0, ""), you=(0, 1, 1)))
+
+    follower.tick(0.0)
+    first = follower.home
+    told(10.0, dict.fromkeys(cores, UP))
+    follower.tick(1_200.0)
+    second = follower.home
+    follower.tick(2_400.0)
+    third = follower.home
+    assert len({first, second, third}) == 3
+    told(2_410.0, {first: DOWN, second: DOWN, third: UP})
+    for now in range(2_450, 12_000, 50):
+        follower.tick(float(now))
+        assert follower.home == third
+        if now % 500 == 0:
+            told(float(now), {third: UP})
+    told(12_000.0, {second: UP})
+    follower.tick(12_500.0)
+    assert follower.home == second
+
+
 def test_tables_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(registry, "MOST_SERVERS", 5)
     monkeypatch.setattr(membership, "MOST_MEMBERS", 5)
