--- a/larklb/lab/control_breaks.py
+++ b/larklb/lab/control_breaks.py
@@ -86,14 +86,15 @@
 
 def _sent_before_the_save() -> list[Change]:
     ready = Replica.ready
-    late: dict[int, Ready] = {}
 
-    def early(self: Replica) -> Ready | None:
-        if id(self) in late:
-            return late.pop(id(self))
+    def early(self: Any) -> Ready | None:
+        late: Ready | None = getattr(self, "_late", None)
+        if late is not None:
+            self._late = None
+            return late
         made = ready(self)
         if made is not None and made.save:
-            late[id(self)] = Ready(made.save)
+            self._late = Ready(made.save)
             return Ready(None, made.messages, made.answers)
         return made
 
@@ -193,14 +194,14 @@
     "answers-by-number-alone": Break("answers", _answers_by_number_alone),
     "sent-before-the-save": Break("replacement", _sent_before_the_save),
     "votes-forgotten": Break("history", _votes_forgotten, 3),
-    "older-logs-get-votes": Break("cut", _older_logs_get_votes),
+    "older-logs-get-votes": Break("history", _older_logs_get_votes, 3),
     "blank-disks-vote": Break("replacement", _blank_disks_vote),
     "base-not-compared": Break("races", _base_not_compared),
     "repeats-not-known": Break("races", _repeats_not_known),
     "told-while-cut-off": Break("cut", _told_while_cut_off),
     "never-fenced": Break("cut", _never_fenced),
     "drains-known-to-one": Break("cut", _drains_known_to_one),
-    "snapshots-go-back": Break("history", _snapshots_go_back),
+    "snapshots-go-back": Break("history", _snapshots_go_back, 3),
     "snapshots-not-installed": Break("history", _snapshots_not_installed),
     "committed-by-fewer": Break("replacement", _committed_by_fewer),
     "leads-without-quorum": Break("cut", _no_quorum_for_leading),
--- a/larklb/lab/control_callers.py
+++ b/larklb/lab/control_callers.py
@@ -120,8 +120,10 @@
             elif settled is not None and settled.status == 400:
                 raise BrokenError(f"{order.name} is valid, and answered 400: {settled.text}")
             else:
+                # Where nobody listens the next machine is tried soon; who says 'not now' is given time.
+                wait = pause if settled is not None else PAUSE_MS[0]
                 again = min(PAUSE_MS[1], 1.6 * pause)
-                self.world.at(pause, lambda: self._send(order, again))
+                self.world.at(wait, lambda: self._send(order, again))
 
         self.ask(lambda plane, done: plane.operator_call(self.world.now, call, done), answered)
 
@@ -197,6 +199,7 @@
     servers: dict[str, SimulatedServer] = field(factory=dict)
     started: int = 0
     drains: int = 0  # acknowledged, and looked up at all limiters in touch
+    on_drained: Callable[[Machine], object] | None = None  # once, with the core machine that says so
 
     def start(self) -> None:
         """A new server begins to beat."""
@@ -240,21 +243,39 @@
 
     def _drained(self, server: SimulatedServer, machine: Machine) -> None:
         server.acknowledged = True
-        bounds = self.world.bounds
+        bounds, now = self.world.bounds, self.world.now
         if self._in_touch(machine):
-            self.world.at(bounds.drain, lambda: self._known(server))
+            self.world.at(bounds.drain, lambda: self._known(server, now))
+        if self.on_drained is not None and (core := self._core_of(machine)) is not None:
+            server.ended = True  # or its next beat would tell another core machine
+            lose, self.on_drained = self.on_drained, None
+            lose(core)
         self.world.at(LEAVE_MS, lambda: self._end(server))
 
+    def _core_of(self, machine: Machine) -> Machine | None:
+        """The core machine that settles servers' calls which come to ``machine``."""
+        if machine.core is not None:
+            return machine
+        home = machine.plane.subscriber.home if machine.plane is not None else ""
+        return self.world.machines.get(home)
+
     def _in_touch(self, machine: Machine) -> bool:
         calm = self.world.now - self.world.bounds.contact
         if self.world.loss or self.world.core_troubled > calm:
             return False
         return machine.up and machine.well_since <= calm and self.world.is_well(machine)
 
-    def _known(self, server: SimulatedServer) -> None:
+    def _known(self, server: SimulatedServer, acknowledged: float) -> None:
+        """All know of a drain who were in touch as it was acknowledged, and have had no trouble since.
+
+        Nothing else may have happened to the core but the loss, just then, of the machine that said so.
+        """
+        if self.world.loss or self.world.core_troubled > acknowledged:
+            return
         self.drains += 1
+        calm = acknowledged - self.world.bounds.contact
         for machine in self.world.machines.values():
-            if machine.plane is None or not self._in_touch(machine):
+            if machine.plane is None or machine.well_since > calm or not self.world.is_well(machine):
                 continue
             known = machine.plane.subscriber.servers.get(server.row.id)
             if known is not None and known.state == STEADY:
--- a/larklb/lab/control_day.py
+++ b/larklb/lab/control_day.py
@@ -1,8 +1,6 @@
 """One simulated day of the control side: its course, its callers, and the faults of its scenario.
 
-What a scenario is for stands in ``control_faults``. A core machine counts as lost while its trouble lasts
-and for ``convergenceS`` after it; never more are lost at once than the core's tolerance, but all may be
-killed together."""
+What a scenario is for stands in ``control_faults``, its faults in ``control_day_faults``."""
 
 from __future__ import annotations
 
@@ -11,45 +9,15 @@
 
 from attrs import define, field
 
-from larklb.gateway.control import OperatorOrder
 from larklb.lab.control_callers import Operators, Servers
+from larklb.lab.control_day_faults import FAULTS, Faults
 from larklb.lab.control_history import BrokenError, Read
-from larklb.lab.control_world import Machine, World
+from larklb.lab.control_world import World
 
 SCENARIOS = ("cut", "races", "replacement", "history", "answers", "mixed")
 LENGTH_MS = 40_000.0  # of a day, without its beginning and end
 FOUNDED_MS = 12_000.0  # in which a group must have been founded and taken its first order
 
-#: The faults of each scenario, with how often each is drawn.
-FAULTS: dict[str, dict[str, int]] = {
-    "cut": {"cut": 6, "freeze": 4, "disk": 3, "leader_cut": 5, "cut_and_restart": 2, "limiter": 1},
-    "races": {"lost_answers": 5, "kill": 2, "freeze_leader": 2, "kill_all": 1, "resend": 6},
-    "replacement": {"wipe": 5, "replace": 5, "planned": 3, "terminate": 4, "wipe_after_ack": 4, "kill": 1},
-    "history": {"away": 5, "restarts": 4, "disk": 2, "kill_all": 2, "resend": 3, "wipe": 1},
-    "answers": {
-        "late_answers": 6,
-        "loss": 5,
-        "kill": 4,
-        "limiter": 6,
-        "freeze": 2,
-        "kill_all": 1,
-        "lost_answers": 2,
-        "resend": 2,
-    },
-    "mixed": {
-        **{
-            "cut": 2,
-            "leader_cut": 2,
-            "freeze": 2,
-            "freeze_leader": 1,
-            "disk": 2,
-            "lost_answers": 2,
-            "kill": 2,
-        },
-        **{"kill_all": 1, "resend": 2, "wipe": 2, "replace": 2, "planned": 1, "terminate": 2, "away": 1},
-        **{"restarts": 1, "loss": 2, "limiter": 2, "wipe_after_ack": 2, "cut_and_restart": 1},
-    },
-}
 GAP_MS = {"history": (40.0, 160.0), "races": (60.0, 500.0)}  # between orders; else ...
 USUAL_GAP_MS = (200.0, 1_200.0)
 FAULT_GAP_MS = (300.0, 3_500.0)
@@ -63,18 +31,19 @@
     seed: int
     cores: int
     tolerance: int
-    faults: int = 1 << 30  # of the day, the first ones
+    most_faults: int = 1 << 30  # of the day, the first ones
     length: float = LENGTH_MS
     world: World = field(init=False)
     operators: Operators = field(init=False)
     servers: Servers = field(init=False)
-    lost: dict[str, float] = field(factory=dict)  # core machines that count as lost, and until when
+    faults: Faults = field(init=False)
     done: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.world = World(self.seed, self.cores, self.tolerance)
         self.operators = Operators(self.world)
         self.servers = Servers(self.world, self.operators)
+        self.faults = Faults(self.world, self.operators, self.servers, self.tolerance)
 
     # The course of a day --------------------------------------------------------------------
 
@@ -109,7 +78,7 @@
         for machine in late:
             world.note(f"{machine.node} comes late")
             world.restart(machine)
-            self._count_lost(machine, 0.0)
+            self.faults.count_lost(machine, 0.0)
 
     def _finish(self) -> None:
         """All faults end; then an order is acknowledged in time, and what is read fits all that was
@@ -166,275 +135,10 @@
 
     def _faults(self, end: float) -> None:
         world = self.world
-        if world.now >= end or self.done >= self.faults:
+        if world.now >= end or self.done >= self.most_faults:
             return
         self.done += 1
         names = FAULTS[self.scenario]
         name = world.rng.choices(list(names), list(names.values()))[0]
-        getattr(self, f"_{name}")()
+        self.faults.bring(name)
         world.at(world.rng.uniform(*FAULT_GAP_MS), lambda: self._faults(end))
-
-    def _count_lost(self, machine: Machine, for_ms: float) -> None:
-        """It counts as lost while its trouble lasts, and for ``convergenceS`` after it."""
-        self.lost[machine.node] = self.world.now + for_ms + self.world.bounds.convergence
-
-    def _room(self) -> int:
-        self.lost = {node: until for node, until in self.lost.items() if until > self.world.now}
-        return self.tolerance - len(self.lost)
-
-    def _leader(self) -> Machine | None:
-        cores = [m for m in self.world.cores() if m.up and m.core is not None and m.core.replica.is_leader]
-        return cores[0] if cores else None
-
-    def _victim(self, leader: bool = False) -> Machine | None:
-        """A core machine that may be lost now."""
-        if self._room() <= 0:
-            return None
-        free = [m for m in self.world.cores() if m.up and m.node not in self.lost]
-        found = self._leader() if leader else None
-        if found is not None and found in free:
-            return found
-        return self.world.rng.choice(free) if free else None
-
-    def _others(self, machine: Machine) -> list[Machine]:
-        every = self.world.rng.random() < 0.5
-        others = self.world.machines.values() if every else self.world.cores()
-        return [other for other in others if other is not machine]
-
-    def _cut(self, leader: bool = False) -> None:
-        if (machine := self._victim(leader)) is None:
-            return
-        for_ms = self.world.rng.choice((3_000.0, 8_000.0, 20_000.0))
-        self._count_lost(machine, for_ms)
-        self.world.cut_off(machine, self._others(machine), self.world.rng.random() < 0.3)
-        for delay in (200.0, 1_500.0, for_ms / 2):
-            self.world.at(delay, lambda: self.operators.read(machine))
-        self.world.at(for_ms, lambda: self.world.join(machine))
-
-    def _leader_cut(self) -> None:
-        self._cut(leader=True)
-
-    def _cut_and_restart(self) -> None:
-        """A machine restarts behind a cut, and a limiter finds only it among its seeds."""
-        if (machine := self._victim()) is None:
-            return
-        self._count_lost(machine, 12_000.0)
-        self.world.cut_off(machine, [m for m in self.world.cores() if m is not machine], False)
-        self.world.at(2_000.0, lambda: self.world.kill(machine))
-        self.world.at(2_400.0, lambda: self.world.restart(machine))
-        limiter = self.world.machines["l0"]
-        self.world.seeds = [machine.node]
-        self.world.at(3_000.0, lambda: self.world.kill(limiter))
-        self.world.at(3_300.0, lambda: self.world.restart(limiter))
-        self.world.at(12_000.0, lambda: self.world.join(machine))
-        self.world.at(12_000.0, self._usual_seeds)
-
-    def _usual_seeds(self) -> None:
-        self.world.seeds = [machine.node for machine in self.world.cores()][:3]
-
-    def _freeze(self, leader: bool = False) -> None:
-        if (machine := self._victim(leader)) is None:
-            return
-        for_ms = self.world.rng.uniform(600, 6_000)
-        self._count_lost(machine, for_ms)
-        self.world.freeze(machine)
-        for _ in range(3):
-            delay = for_ms - self.world.rng.uniform(5, 600)
-            self.world.at(max(0.0, delay), lambda: self._order_at(machine))
-        self.world.at(for_ms, lambda: self.world.thaw(machine))
-
-    def _order_at(self, machine: Machine) -> None:
-        """An order and a read lie at a machine that stands still."""
-        base = self.operators.known
-        order = self.operators.order(base, base + 1)
-        call = OperatorOrder("replace", base, order.body)
-
-        def answered(status: int) -> None:
-            if status == 200:
-                self.operators.history.acknowledge(order, self.world.now)
-            elif status == 412:
-                self.operators.history.refuse(order, self.world.now)
-
-        self.operators.ask(
-            lambda plane, done: plane.operator_call(self.world.now, call, done),
-            lambda settled: answered(settled.status if settled is not None else 503),
-            machine,
-        )
-        self.operators.read(machine)
-
-    def _freeze_leader(self) -> None:
-        self._freeze(leader=True)
-
-    def _disk(self) -> None:
-        if (machine := self._victim(self.world.rng.random() < 0.5)) is None:
-            return
-        for_ms = self.world.rng.uniform(2_000, 6_000)
-        self._count_lost(machine, for_ms)
-        self.world.disk_trouble(machine, self.world.rng.choice(("slow", "full", "hanging")))
-        self.world.at(for_ms, lambda: self.world.disk_trouble(machine, "well"))
-
-    def _kill(self) -> None:
-        if (machine := self._victim(self.world.rng.random() < 0.5)) is None:
-            return
-        for_ms = self.world.rng.uniform(300, 3_000)
-        self._count_lost(machine, for_ms)
-        self.world.kill(machine, power=self.world.rng.random() < 0.5)
-        self.world.at(for_ms, lambda: self.world.restart(machine))
-
-    def _kill_all(self) -> None:
-        if self._room() < self.tolerance:
-            return
-        for machine in self.world.cores():
-            self.world.kill(machine, power=True)
-            self._count_lost(machine, 1_000.0)
-            self.world.at(self.world.rng.uniform(200, 1_000), partial(self.world.restart, machine))
-
-    def _wipe(self) -> None:
-        if (machine := self._victim(self.world.rng.random() < 0.5)) is None:
-            return
-        self._wiped(machine)
-
-    def _wiped(self, machine: Machine) -> None:
-        for_ms = self.world.rng.uniform(300, 3_000)
-        self._count_lost(machine, for_ms)
-        self.world.wipe(machine)
-        self.world.at(for_ms, lambda: self.world.restart(machine))
-
-    def _wipe_after_ack(self) -> None:
-        """As many as may be lost lose their disks right after an acknowledgement; the others lose power."""
-        if self._room() < self.tolerance:
-            return
-        before = self.operators.acknowledged
-
-        def look() -> None:
-            if self.operators.acknowledged == before:
-                if not self.operators.quiet:
-                    self.world.at(1.0, look)
-                return
-            if self._room() < self.tolerance:
-                return
-            cores = self.world.cores()
-            wiped = self.world.rng.sample(cores, self.tolerance)
-            for machine in cores:
-                if machine in wiped:
-                    self._wiped(machine)
-                else:
-                    self.world.kill(machine, power=True)
-                    back = self.world.rng.uniform(200, 1_000)
-                    self.world.at(back, partial(self.world.restart, machine))
-
-        look()
-
-    def _replace(self) -> None:
-        if (machine := self._victim(self.world.rng.random() < 0.5)) is None:
-            return
-        self._count_lost(machine, 1_000.0)
-        self.world.remove(machine)
-        self.world.at(1_000.0, self._newcomer)
-
-    def _newcomer(self) -> Machine:
-        machine = self.world.add_core(f"n{len(self.world.log)}")
-        self.world.note(f"{machine.node} is new, with an empty disk")
-        self.world.trouble(machine)
-        self._count_lost(machine, 0.0)
-        self._usual_seeds()
-        return machine
-
-    def _planned(self) -> None:
-        """The successor first; then the other is told to end."""
-        if (machine := self._victim(self.world.rng.random() < 0.5)) is None:
-            return
-        self._count_lost(machine, 8_000.0)
-        self._newcomer()
-        self.world.at(1_500.0, lambda: self.world.terminate(machine, 4_000.0))
-        self.world.at(5_600.0, partial(self._gone, machine))
-
-    def _gone(self, machine: Machine) -> None:
-        if machine.node in self.world.machines:
-            self.world.remove(machine)
-
-    def _terminate(self) -> None:
-        if (machine := self._victim(self.world.rng.random() < 0.5)) is None:
-            return
-        grace = self.world.rng.uniform(100, 4_000)
-        self._count_lost(machine, grace + 500.0)
-        self.world.terminate(machine, grace)
-        self.world.at(grace + 500.0, lambda: self.world.restart(machine))
-
-    def _away(self) -> None:
-        """Away for hundreds of changes."""
-        if (machine := self._victim()) is None:
-            return
-        for_ms = self.world.rng.uniform(8_000, 20_000)
-        self._count_lost(machine, for_ms)
-        if self.world.rng.random() < 0.5:
-            self.world.kill(machine, power=True)
-            self.world.at(for_ms, lambda: self.world.restart(machine))
-        else:
-            self.world.cut_off(machine, self._others(machine), False)
-            self.world.at(for_ms, lambda: self.world.join(machine))
-
-    def _restarts(self) -> None:
-        """Killed again and again while it catches up, on a slow disk."""
-        if (machine := self._victim()) is None:
-            return
-        self._count_lost(machine, 8_000.0)
-        self.world.disk_trouble(machine, "slow")
-        for at in (0.0, 3_000.0, 3_900.0, 4_800.0, 5_700.0):
-            self.world.at(at, lambda: self.world.kill(machine, power=True))
-            self.world.at(at + 400.0, lambda: self.world.restart(machine))
-        self.world.at(8_000.0, lambda: self.world.disk_trouble(machine, "well"))
-
-    def _loss(self) -> None:
-        """Words between all machines are lost, come twice and late."""
-        world = self.world
-        world.note("words are lost and repeated")
-        world.loss, world.repeats, world.core_troubled = 0.1, 0.1, world.now
-        world.at(3_000.0, self._no_loss)
-
-    def _no_loss(self) -> None:
-        self.world.note("words come as usual")
-        self.world.loss = self.world.repeats = 0.0
-        self.world.core_troubled = self.world.now
-
-    def _lost_answers(self) -> None:
-        """Answers to callers get lost."""
-        self.world.note("answers to callers get lost")
-        self.operators.lost = 0.5
-        self.world.at(4_000.0, self._no_lost_answers)
-
-    def _no_lost_answers(self) -> None:
-        self.operators.lost, self.operators.lost_until = 0.0, self.world.now
-
-    def _resend(self) -> None:
-        """An old order is sent once more, as after a lost answer."""
-        orders = [o for o in self.operators.history.orders.values() if o.acknowledged < math.inf]
-        if orders:
-            order = self.world.rng.choice([*orders[-80:], orders[0]])
-            self.world.note(f"{order.name} is sent again")
-            self.operators.again(order)
-
-    def _late_answers(self) -> None:
-        """A limiter ends with calls passed on, and what answers them comes late, to its next process."""
-        limiters = [m for m in self.world.machines.values() if m.disk is None and m.up]
-        if not limiters:
-            return
-        machine, world = self.world.rng.choice(limiters), self.world
-        world.note(f"{machine.node} ends with calls passed on, and answers come late")
-        world.repeats, world.core_troubled = 0.5, world.now
-        for _ in range(6):
-            self._order_at(machine)
-        world.at(3.0, partial(world.kill, machine))
-        world.at(4.0, partial(world.restart, machine))
-        for index in range(30):
-            world.at(100.0 + 50.0 * index, partial(self._order_at, machine))
-        world.at(2_500.0, self._no_loss)
-
-    def _limiter(self) -> None:
-        """A machine without a disk is restarted, at times at once."""
-        limiters = [m for m in self.world.machines.values() if m.disk is None and m.up]
-        if not limiters:
-            return
-        machine = self.world.rng.choice(limiters)
-        self.world.kill(machine)
-        self.world.at(self.world.rng.choice((1.0, 300.0, 2_000.0)), lambda: self.world.restart(machine))
--- a/larklb/lab/control_faults.py
+++ b/larklb/lab/control_faults.py
@@ -3,17 +3,21 @@
 
 Six scenarios: five that bring about what operators fear most, and ``mixed``.
 
-    cut          a core machine cut off for 20 s, frozen, slow or with a hanging disk, and asked all the while
+    cut          a core machine cut off for 20 s, frozen, slow or with a hanging disk, and asked all the
+                 while; one that has just acknowledged a drain is lost
     races        operators on one version, eight orders at once, answers lost, orders sent again late
     replacement  disks lost, machines replaced or told to end, a second loss as soon as the first counts as
-    mended history      hundreds of changes while a member is away, restarted again and again, on slow disks
-    answers      words that are lost, come twice or late, processes that end and begin anew: answers to the
-    wrong call mixed        all of it
+                 mended
+    history      hundreds of changes while a member is away, restarted again and again, on slow disks; the
+                 leader lost as it comes back
+    answers      messages that are lost, come twice or late, processes that end and begin anew: answers to
+                 the wrong call
+    mixed        all of it
 
 What must hold is judged from answers (``control_history``): the orders' history is linearizable, nothing
 acknowledged is lost or refused, nothing refused is in force, no machine hands out an old version, an order
 is acknowledged within ``ackMs`` of a settled core, an acknowledged drain is known to all in touch within
-``drainMs``.
+``drainMs``, a machine that is cut off gives up at once.
 
     python -m larklb.lab.control_faults [--days N] [--seed S] [--scenario NAME] [--core N] [--jobs J]
     [--break NAME]
--- a/larklb/lab/control_world.py
+++ b/larklb/lab/control_world.py
@@ -18,10 +18,11 @@
 from attrs import define, evolve, field
 
 from larklb.consensus.interface import Ready
+from larklb.consensus.messages import InstallSnapshot
 from larklb.gateway import messages
 from larklb.gateway.control_plane import ControlPlane
 from larklb.gateway.core import Core
-from larklb.gateway.messages import Configuration, Message
+from larklb.gateway.messages import Configuration, Message, Raft
 from larklb.gateway.settings import Bounds, Settings
 from larklb.lab.control_history import BrokenError
 from larklb.membership.members import Member
@@ -34,6 +35,7 @@
 MOST_BUFFERED = 2_000  # words that wait at a machine that stands still
 ZONES = ("north", "south", "east")
 CONTROL_PORT = 8407
+SNAPSHOT_KIND = InstallSnapshot.__struct_config__.tag
 
 Document = dict[str, Any]
 
@@ -94,12 +96,14 @@
         self.loss = 0.0
         self.repeats = 0.0
         self.bootstrap = True
+        self.healed = False  # no faults begin any more
         self.log: list[str] = []  # what was done, as readable text
         self.told: Callable[[Machine, int], object] = lambda machine, version: None
         self.in_force: Callable[[Machine, Document], object] = lambda machine, document: None
         self.core_troubled = 0.0  # when the core was last in trouble
         self.leaders: dict[int, str] = {}
         self._last_disk = 0
+        self._snapshots: dict[str, tuple[str, bytes]] = {}  # by receiver: sender and line of the last one
         for index in range(cores):
             self.add_core(f"c{index}", start=False)
         for index in range(limiters):
@@ -281,6 +285,14 @@
                 continue
             late = self.rng.uniform(*LATE_MS) if self.rng.random() < self.repeats else 0.0
             self.at(self.rng.uniform(*WIRE_MS) + late, lambda: self._deliver(machine.node, ip, line))
+        if isinstance(message, Raft) and message.message["kind"] == SNAPSHOT_KIND:
+            self._snapshots[ip] = (machine.node, line)
+
+    def repeat_snapshot(self, machine: Machine) -> None:
+        """A copy of the last snapshot that was sent to a machine comes once more."""
+        if machine.node in self._snapshots:
+            sender, line = self._snapshots[machine.node]
+            self.at(self.rng.uniform(*WIRE_MS), lambda: self._deliver(sender, machine.node, line))
 
     def _deliver(self, sender: str, receiver: str, line: bytes) -> None:
         machine = self.machines.get(receiver)
@@ -310,6 +322,11 @@
         reached = all(machine.node not in pair for pair in self.cut)
         return machine.up and not machine.leaving and machine.disk_mode == "well" and reached
 
+    def is_cut_off(self, machine: Machine) -> bool:
+        """Whether no word passes between it and any other core machine."""
+        others = [other.node for other in self.cores() if other is not machine]
+        return all({(machine.node, other), (other, machine.node)} <= self.cut for other in others)
+
     def trouble(self, machine: Machine) -> None:
         """This machine is in trouble now, or just was."""
         machine.well_since = self.now
@@ -318,6 +335,10 @@
 
     def kill(self, machine: Machine, power: bool = False) -> None:
         """Ends the process; of a save under way each value is durable or not by itself."""
+        if not self.healed:
+            self._end(machine, power)
+
+    def _end(self, machine: Machine, power: bool) -> None:
         if machine.plane is None:
             return
         self.note(f"{machine.node} {'loses power' if power else 'is killed'}")
@@ -338,6 +359,8 @@
 
     def wipe(self, machine: Machine) -> None:
         """Loses power, and its disk's contents."""
+        if self.healed:
+            return
         self.kill(machine, power=True)
         self.note(f"{machine.node} loses its disk")
         self._last_disk += 1
@@ -345,12 +368,16 @@
 
     def remove(self, machine: Machine) -> None:
         """Gone for good."""
+        if self.healed and machine.plane is not None:
+            return
         self.kill(machine, power=True)
         self.note(f"{machine.node} is gone for good")
         del self.machines[machine.node]
 
     def freeze(self, machine: Machine) -> None:
         """Stands still; its words wait."""
+        if self.healed:
+            return
         self.note(f"{machine.node} stands still")
         self.trouble(machine)
         machine.frozen = True
@@ -367,6 +394,8 @@
 
     def cut_off(self, machine: Machine, others: list[Machine], one_way: bool) -> None:
         """Words between these are lost, or only its own (``one_way``)."""
+        if self.healed:
+            return
         self.note(f"{machine.node} is cut off from {', '.join(o.node for o in others)}{' one way' * one_way}")
         self.trouble(machine)
         for other in others:
@@ -383,24 +412,27 @@
 
     def terminate(self, machine: Machine, grace_ms: float) -> None:
         """SIGTERM: it leaves in order, and its process ends after ``grace_ms``."""
-        if machine.plane is None or machine.frozen:
+        if machine.plane is None or machine.frozen or self.healed:
             return
         self.note(f"{machine.node} is told to end")
         self.trouble(machine)
         machine.leaving = True
         machine.plane.leave(self.now)
         life = machine.life
-        self.at(grace_ms, lambda: self.kill(machine) if machine.life == life else None)
+        self.at(grace_ms, lambda: self._end(machine, False) if machine.life == life else None)
 
     def disk_trouble(self, machine: Machine, mode: str) -> None:
         """The disk is ``well``, ``slow``, ``full`` or ``hanging`` from now on."""
+        if self.healed:
+            return
         self.note(f"the disk of {machine.node} is {mode}")
         self.trouble(machine)
         machine.disk_mode = mode
 
     def heal(self) -> None:
-        """All faults end."""
+        """All faults end, and no others begin."""
         self.note("all faults end")
+        self.healed = True
         self.loss = self.repeats = 0.0
         self.cut.clear()
         self.core_troubled = self.now
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -13,6 +13,7 @@
 from larklb.lab.control_day import SCENARIOS, Day
 from larklb.lab.control_faults import Task, main, played, tasks
 from larklb.lab.control_history import BrokenError, History, Order, Read
+from larklb.lab.control_world import World
 
 pytestmark = pytest.mark.simulation
 
@@ -133,3 +134,18 @@
         day = Day("mixed", seed, 3, 1, length=SHORT_MS)
         day.world.settings_of(contact=contact, convergence=convergence, ack=contact + 2_000.0)
         day.play()
+
+
+def test_whoever_finds_one_core_machine_learns_of_all() -> None:
+    """Also of one whose own seeds name nobody else, and which is known to the others alone."""
+    world = World(1)
+    for machine in world.machines.values():
+        world.start(machine)
+    world.run(6_000.0)
+    world.seeds = ["c2"]
+    for name in ("c2", "l0"):
+        world.kill(world.machines[name])
+        world.restart(world.machines[name])
+    world.run(2_000.0)
+    plane = world.machines["l0"].plane
+    assert plane is not None and set(plane.subscriber.cores) == {"c0", "c1", "c2"}
