--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -24,7 +24,7 @@
 from larklb.gateway.messages import CallAnswer, ServerCall
 from larklb.membership import members as membership
 from larklb.membership.members import DOWN, LEAVING, UP, Member, Members, member_of
-from larklb.membership.messages import Message, Rows
+from larklb.membership.messages import Message, Row, Rows
 from larklb.registry import registry
 from larklb.registry import subscriber as follower_module
 from larklb.registry.messages import (
@@ -932,7 +932,8 @@
     def told(now: float, states: dict[str, str]) -> None:
         home, start = follower.home, follower.have
         revision[home] += 1
-        rows = [("m", name, evolve(cores[name], state=state).row()) for name, state in states.items()]
+        rows: list[tuple[str, str, Row | None]] = [
+            ("m", name, evolve(cores[name], state=state).row()) for name, state in states.items()]
         follower.delta(now, Delta(sender=home, life=1, start=start, to=start + 1, head=start + 1, rows=rows,
                                   offer=(0, ""), you=(0, 1, 1)))
 
