Quota questions and near limiters' words leave the process's main module

Change: gateway/quota_exchange.py holds the questions that wait for an owner's answer and when they are given up; gateway/near_exchange.py what limiters of one zone tell each other of servers. Both take what they need as arguments.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -47,6 +47,8 @@
 from larklb.gateway.front import in_force
 from larklb.gateway.main import Limiter
 from larklb.gateway.messages import AnyMessage, Message, QuotaMessage
+from larklb.gateway.near_exchange import NearExchange
+from larklb.gateway.quota_exchange import QuotaExchange
 from larklb.gateway.settings import Settings
 from larklb.gateway.transport import Transport
 from larklb.membership.members import Member
@@ -175,7 +177,9 @@
             rng=self.random,
         )
         self.follower.seeds = [n for n in fabric.seeds if n != node]
-        self.quotas = Quotas(node, fabric.now, 1, settled=True)
+        quotas = Quotas(node, fabric.now, 1, settled=True)
+        self.quota_exchange = QuotaExchange(quotas, self.wheel, self.transport.post, self.count)
+        self.near = NearExchange(self.choice, self.transport.post)
         if disk:
             core = HollowCore(
                 s, me, None, fabric.now, 1, self.transport.post, lambda ready: core.done_at_once(ready)
@@ -509,7 +513,7 @@
     if by == "limiters":
         some = next(iter(fabric.of.values()))
         found.add("quota: CPU to find the last owner's address", "us", "limiter", x,
-                  spent(lambda: some._to_number(-2, {})) * 1e6, target)
+                  spent(lambda: some.quota_exchange._send(-2, {})) * 1e6, target)
 
     node = f"n{90_000 + len(fabric.of):05}"
     meter.reset()
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -20,9 +20,8 @@
 
 from larklb.admission.budget import Budget
 from larklb.admission.choice import Place
-from larklb.admission.quotas import Allowance, Ask, Bound, Quotas, Verdict
+from larklb.admission.quotas import Allowance, Bound, Quotas
 from larklb.balancing.choice import AbleChoice
-from larklb.balancing.errors import UnreadableError
 from larklb.balancing.estimates import Estimates
 from larklb.balancing.load import Hands
 from larklb.consensus.errors import ConsensusError
@@ -36,6 +35,8 @@
 from larklb.gateway.front import Front, in_force
 from larklb.gateway.listener import Bounds, Listener
 from larklb.gateway.messages import AnyMessage, EstimatesMessage, HandsMessage, QuotaMessage
+from larklb.gateway.near_exchange import HANDS_MS, NearExchange
+from larklb.gateway.quota_exchange import QuotaExchange
 from larklb.gateway.servers import Reply, Servers
 from larklb.gateway.transport import Transport
 from larklb.membership.members import UP, Member
@@ -43,22 +44,17 @@
 from larklb.registry.registry import Server
 from larklb.registry.subscriber import Subscriber
 from larklb.schema import configuration as schema
-from larklb.schema.configuration import Tenant
 from larklb.schema.errors import SchemaError
 from larklb.storage.errors import StorageError
 from larklb.storage.store import Store
-from larklb.wheel import Timer, Wheel
+from larklb.wheel import Wheel
 
 log = logging.getLogger("gateway")
 
 TICK_MS = 4.0  # of the wheel
 CORE_TURN_MS = 50.0  # between two turns of a core machine's duties ...
 TURN_MS = 100.0  # ... and of another limiter's
-HANDS_MS = 25.0  # between two words to near limiters of what is in hand, ...
-NEAR_MOST = 8  # ... where there are no more of them: each is sent some tens of words a second
-ABLE_MS = 500.0  # between two of what was found of servers
 SLOW_TURN_MS = 1_000.0  # between looks at the settings file, and at what has aged
-NOTES_MS = 300.0
 SESSION_BYTES = 8  # random, of each process: answers to it are told from those to the one before
 HARD_STATE = "ballot"  # the disk's key of term and vote
 RESERVED = 200  # descriptors that are not for sockets
@@ -119,13 +115,15 @@
         )
         first = settings.bootstrap
         bounds = settings.bounds
-        self.quotas = Quotas(
+        quotas = Quotas(
             settings.node,
             now,
             self.random.randrange(1 << 30),
             settled=first,
             bound=Bound(bounds.quota_window / 1000.0, bounds.quota_overshoot, bounds.quota_slack),
         )
+        self.quota_exchange = QuotaExchange(quotas, self.wheel, self.transport.post, self.count)
+        self.near = NearExchange(self.choice, self.transport.post)
         self.budget = Budget(
             bounds.retry_ratio,
             bounds.retry_window,
@@ -142,7 +140,7 @@
             self.servers,
             self.choice,
             self.budget,
-            self._quota,
+            self.quota_exchange.ask,
             self.random,
             self.count,
             stay=stay,
@@ -152,11 +150,7 @@
         self.control = Listener(self.wheel, control.answer, int(sockets * CONTROL_PART))
         self.readiness = Listener(self.wheel, self._ready, 16)
         self.saturation: dict[str, int] = {}
-        self.by_number: dict[int, str] = {}
-        self.verdicts: dict[int, tuple[asyncio.Future[Verdict], Timer]] = {}
-        self.near: list[str] = []
-        self.able_at = -1e18
-        self.slow_at = self.noted_at = -1e18
+        self.slow_at = -1e18
         self.leaving = asyncio.Event()
         self.stamp = self._stamp()
 
@@ -170,6 +164,11 @@
         """What is known here of other limiters and of servers."""
         return self.plane.subscriber
 
+    @property
+    def quotas(self) -> Quotas:
+        """What is decided of tenants' quotas here."""
+        return self.quota_exchange.quotas
+
     async def run(self) -> None:
         """From the first word to an orderly end."""
         s, loop = self.settings, asyncio.get_running_loop()
@@ -182,33 +181,14 @@
                 await door.start(*address)
         log.info("gateway: %s listens.", s.node)
         self._turn()
-        self._hands()
+        self._near()
         await self.leaving.wait()
         await self._leave()
 
-    def _hands(self) -> None:
-        """Near limiters tell each other what they have in hand, and less often what they found of servers.
-
-        Where they are many the words would cost more than they bring, and each goes by what it sees."""
-        self.wheel.after(HANDS_MS, self._hands)
-        if self.front.now is None or not self.near:
-            return
-        now = self.wheel.now()
-        if (hands := self.choice.hand_words(now)) is not None:
-            for ip in self.near:
-                self.transport.post(ip, HandsMessage(message=hands))
-        if now - self.able_at >= ABLE_MS:
-            self.able_at = now
-            estimates = EstimatesMessage(message=self.choice.words(now))
-            for ip in self.near:
-                self.transport.post(ip, estimates)
-
-    @staticmethod
-    def _hear_able(take: Callable[[], object]) -> None:
-        try:
-            take()
-        except UnreadableError as error:
-            raise ValueError(str(error)) from error
+    def _near(self) -> None:
+        self.wheel.after(HANDS_MS, self._near)
+        if self.front.now is not None:
+            self.near.tick(self.wheel.now())
 
     # Turns --------------------------------------------------------------------------------
 
@@ -217,10 +197,7 @@
         self.wheel.after(CORE_TURN_MS if self.core is not None else TURN_MS, self._turn)
         now = self.wheel.now()
         self.plane.tick(now)
-        if now - self.noted_at >= NOTES_MS:
-            self.noted_at = now
-            for number, message in self.quotas.notes(now):
-                self._to_number(number, message)
+        self.quota_exchange.tick(now)
         if now - self.slow_at >= SLOW_TURN_MS:
             self.slow_at = now
             self.quotas.clean(now)
@@ -254,11 +231,10 @@
         now = self.wheel.now()
         match message:
             case QuotaMessage():
-                self._heard_quota(now, message)
-            case HandsMessage():
-                self._hear_able(partial(self.choice.hear_hands, now, message.sender, message.message))
-            case EstimatesMessage():
-                self._hear_able(partial(self.choice.hear, now, message.sender, message.message))
+                sender = self.follower.members.get(message.sender)
+                self.quota_exchange.heard(now, message, sender.number if sender is not None else -1)
+            case HandsMessage() | EstimatesMessage():
+                self.near.heard(now, message)
             case _:
                 self.plane.heard(now, message)
 
@@ -295,17 +271,12 @@
         """Members or servers are others now."""
         now = self.wheel.now()
         me = self.follower.me
+        members = self.follower.members.values()
         numbers = self.follower.numbers()
-        self.by_number = {n: self.follower.members[node].ip for n, node in numbers.items()}
-        self.quotas.members(now, numbers, me.number if me.number >= 0 else None)
-        near = [
-            m.ip
-            for m in self.follower.members.values()
-            if m.zone == me.zone and m.state == UP and m.node != me.node
-        ]
-        self.near = near if len(near) <= NEAR_MOST else []
-        self.choice.exchange = bool(self.near)
-        self.choice.peers(me.node, [(m.node, m.zone) for m in self.follower.members.values()])
+        addresses = {n: self.follower.members[node].ip for n, node in numbers.items()}
+        self.quota_exchange.members(now, numbers, addresses, me.number)
+        self.near.peers([m.ip for m in members if m.zone == me.zone and m.state == UP and m.node != me.node])
+        self.choice.peers(me.node, [(m.node, m.zone) for m in members])
         self.choice.update(
             Place(
                 s.id,
@@ -356,42 +327,6 @@
         ask(done)
         return await answered
 
-    # Quotas -------------------------------------------------------------------------------
-
-    async def _quota(self, tenant: Tenant) -> Verdict | None:
-        now = self.wheel.now()
-        asked = self.quotas.request(now, Allowance(tenant.name, tenant.rate_per_s, tenant.burst))
-        if not isinstance(asked, Ask):
-            return asked
-        verdict: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
-        timer = self.wheel.after(asked.give_up_at - now, self._given_up, asked.number)
-        self.verdicts[asked.number] = (verdict, timer)
-        self._to_number(asked.owner, asked.message)
-        return await verdict
-
-    def _to_number(self, number: int, message: dict[str, Any]) -> None:
-        if (ip := self.by_number.get(number)) is not None:
-            self.transport.post(ip, QuotaMessage(message=message))
-
-    def _given_up(self, number: int) -> None:
-        self.count["quota.given_up"] += 1
-        self._decided(number, self.quotas.given_up(self.wheel.now(), number))
-
-    def _decided(self, number: int, verdict: Verdict) -> None:
-        if (waiting := self.verdicts.pop(number, None)) is not None:
-            waiting[1].cancel()
-            if not waiting[0].done():
-                waiting[0].set_result(verdict)
-
-    def _heard_quota(self, now: float, message: QuotaMessage) -> None:
-        sender = self.follower.members.get(message.sender)
-        if message.message["k"] in ("ask", "back", "hello"):
-            number = sender.number if sender else -1
-            if (answer := self.quotas.asked(now, number, message.message)) is not None:
-                self.transport.post(message.address, QuotaMessage(message=answer))
-        elif (told := self.quotas.told(now, message.message)) is not None:
-            self._decided(*told)
-
     # Readiness and the end ----------------------------------------------------------------
 
     def ready(self) -> bool:
