The exhaustive check of the replicated store stands in four modules

Change: consensus_machines (replicas, disks, what they show), consensus_explorer (worlds, links, the search), consensus_breaks (seeded faults); check_consensus keeps what holds, and the command.

--- /dev/null
+++ b/larklb/lab/consensus_breaks.py
@@ -0,0 +1,124 @@
+"""Replicas with a fault put in, each of which the exhaustive check must find."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from attrs import evolve
+
+from larklb.consensus.history import Repeat
+from larklb.consensus.interface import Call, Ready
+from larklb.consensus.log import Log
+from larklb.consensus.messages import AppendEntries, InstallSnapshot, VoteRequest
+from larklb.consensus.replica import Replica
+from larklb.lab.consensus_machines import CoarseRounds
+
+
+class Early(CoarseRounds):
+    """Sends words before the save that they stand on is durable."""
+
+    _late: Ready | None = None
+
+    def ready(self) -> Ready | None:
+        if self._late is not None:
+            late, self._late = self._late, None
+            return late
+        made = super().ready()
+        if made is not None and made.save:
+            self._late = Ready(made.save)
+            return Ready(None, made.messages)
+        return made
+
+
+class Fickle(CoarseRounds):
+    """Votes for all who ask in a term."""
+
+    def _on_vote_request(self, sender: str, message: VoteRequest) -> None:
+        if message.term == self.term:
+            self._hard_state.vote = ""
+        super()._on_vote_request(sender, message)
+
+
+class Deaf(CoarseRounds):
+    """Doesn't compare the base of a change."""
+
+    def _verdict(self, call: Call) -> Any:
+        repeat = self._log.state.history.judge(call.base, call.identity, self.version)
+        base = call.base if repeat is Repeat.TAKEN else self.version
+        return super()._verdict(Call(call.kind, base, call.body, call.identity))
+
+
+class Backward(CoarseRounds):
+    """Takes a snapshot that is older than what it has."""
+
+    def _on_snapshot(self, sender: str, message: InstallSnapshot) -> None:
+        if message.term == self.term and message.snapshot["index"] < self._log.commit:
+            self._log = Log(self._hard_state.group_id)
+        super()._on_snapshot(sender, message)
+
+
+class Obedient(CoarseRounds):
+    """Follows leaders of older terms."""
+
+    def _heed(self, sender: str, message: AppendEntries | InstallSnapshot) -> bool:
+        newest = max(message.term, self.term)
+        return super()._heed(sender, msgspec.structs.replace(message, term=newest))
+
+
+class Blank(CoarseRounds):
+    """Votes while its disk is blank, and the emptied disk keeps its id."""
+
+    def _may_vote(self) -> bool:
+        return True
+
+
+class Amnesic(CoarseRounds):
+    """Forgets its term and vote at a start."""
+
+    def __init__(self, *args: Any, **named: Any) -> None:
+        super().__init__(*args, **named)
+        kept = self._hard_state
+        self._hard_state = evolve(kept, term=self._log.end[0], vote="")
+
+
+class Hopeful(CoarseRounds):
+    """Takes a failed save for a durable one."""
+
+    def saved(self, ok: bool) -> None:
+        super().saved(True)
+
+
+class Hasty(CoarseRounds):
+    """Refuses at once, without a majority's word."""
+
+    def _judge(self) -> None:
+        super()._judge()
+        for waiting in self._calls.verdicts:
+            if waiting.verdict is not None:
+                self._answers.append((waiting.ticket, waiting.verdict))
+        self._calls.verdicts.clear()
+
+
+class Shrinking(CoarseRounds):
+    """Counts a change of the voters only from its commit on, and needs half of them."""
+
+    def _advance(self) -> None:
+        kept = self._log
+        if kept.pending("voters") and self.is_leader:
+            self._log.advance(self._durable)
+        super()._advance()
+
+
+SEEDED: dict[str, type[Replica]] = {
+    "words-before-saves": Early,
+    "votes-for-all": Fickle,
+    "base-not-compared": Deaf,
+    "snapshot-goes-back": Backward,
+    "old-terms-heeded": Obedient,
+    "blank-disk-votes": Blank,
+    "vote-forgotten": Amnesic,
+    "failed-save-counts": Hopeful,
+    "refused-from-memory": Hasty,
+    "group-changes-alone": Shrinking,
+}
--- /dev/null
+++ b/larklb/lab/consensus_machines.py
@@ -0,0 +1,387 @@
+"""Core machines for the exhaustive check of the replicated store: real replicas, disks, and what they show.
+
+A machine's state counts with times as ages, an event does the same to equal states, and is played once for
+each: ``Machines`` keeps states and outcomes by number."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from attrs import define, evolve, field, frozen
+
+from larklb.consensus.founding_protocol import FOUND_MS
+from larklb.consensus.group import HEARD_MS, SILENT_MS
+from larklb.consensus.interface import Call
+from larklb.consensus.log import Log
+from larklb.consensus.membership_change import LEARNER_MS
+from larklb.consensus.messages import Stamp
+from larklb.consensus.replica import RETRY_MS, Replica
+from larklb.consensus.timing import Timing
+
+TIMING = Timing()
+NODES = ("a", "b", "c", "d")  # the last one is there only from the start ``fourth`` on
+FOUNDERS = 3
+LINKS = tuple((i, j) for i in range(len(NODES)) for j in range(len(NODES)) if i != j)
+MAJORITY = 2
+LINK = 3  # words under way on a link
+SENT = 2  # times that an operator sends a call
+TIME_OUT = 1400.0  # ms, beyond the longest of an election and of a leader without word of a majority
+BEAT = 150.0  # ms, the leader's heartbeat
+MOST_BEATS = 60  # in which a silent voter must be about to be replaced
+
+Make = Callable[..., Replica]
+Event = tuple[str, int, Any]
+Said = tuple[str, int]  # the receiver's disk, the word's number
+
+
+class BrokenError(AssertionError):
+    """Something doesn't hold."""
+
+
+class FoundError(AssertionError):
+    """A world in which something doesn't hold; ``steps`` lead there from the start ``start``."""
+
+    def __init__(self, why: str, start: str, steps: list[str]) -> None:
+        super().__init__(f"{why}, {len(steps)} steps from '{start}': " + "; ".join(steps))
+        self.why, self.start, self.steps = why, start, steps
+
+
+class Pinned(random.Random):
+    """Delays are the longest; a group_id is always the same."""
+
+    def uniform(self, a: float, b: float) -> float:
+        return b
+
+    def randrange(self, *_: Any) -> int:
+        return 7
+
+
+PINNED = Pinned()
+
+
+def apply(document: dict[str, Any] | None, call: Call) -> dict[str, Any]:
+    return {"version": call.body["version"], "base": call.base, "identity": call.identity}
+
+
+#: Name -> base and version; ``w`` is taken before the start, ``z`` is sent once ``x`` is acknowledged.
+CALLS = {"w": (0, 1), "x": (1, 2), "y": (1, 3), "z": (2, 4)}
+
+
+def call_of(name: str) -> Call:
+    base, version = CALLS[name]
+    return Call("replace", base, {"version": version}, f"call-{name}")
+
+
+# A machine
+
+
+def _clone(value: Any) -> Any:
+    """A copy that shares what is never changed: words, entries, snapshots."""
+    kind = type(value)
+    if kind is dict:
+        return {key: _clone(part) for key, part in value.items()}
+    if kind is list:
+        return [_clone(part) for part in value]
+    if kind is deque:
+        return deque((_clone(part) for part in value), value.maxlen)
+    if kind is set:
+        return set(value)
+    if attrs.has(kind) and kind.__setattr__ is object.__setattr__:
+        made = kind.__new__(kind)
+        for each in attrs.fields(kind):
+            setattr(made, each.name, _clone(getattr(value, each.name)))
+        return made
+    return value
+
+
+#: Times of a replica, and the age from which on all count alike: nothing compares them with a greater one.
+TIMES = {
+    "_sticky": TIMING.election[1] + BEAT,
+    "_asked": FOUND_MS,
+    "_pushed": TIMING.heartbeat,
+    "_saving_since": TIMING.hang + BEAT,
+    "_failed": RETRY_MS,
+    "heard": max(TIMING.quorum, LEARNER_MS),
+    "_quorum_at": TIMING.quorum,
+    "_rounds": TIMING.quorum,
+    "_current_at": TIMING.quorum,
+    "due": 0.0,
+    "start": SILENT_MS,
+    "_since": HEARD_MS,
+    "_last": SILENT_MS,
+}
+#: A deadline is over whenever a time-out comes.
+UNSEEN = {"_now", "_rng", "_apply", "_tolerance", "_timing", "_deadline", "node", "encoded"}
+
+
+class CoarseRounds(Replica):
+    """Begins a new round only where a call waits for one, so that there are few states. A round that is sent
+    again proves no more: whoever answers it has heard of it after the call that asked for it."""
+
+    def _stamp(self) -> Stamp:
+        """No message tells a time; what stamps are for is checked in ``control_faults``."""
+        return 0, 0.0
+
+    def _broadcast(self) -> None:
+        waiting = [*self._calls.reads, *self._calls.verdicts]
+        if not any(each.at > self._round for each in waiting):
+            self._round -= 1
+        super()._broadcast()
+
+
+def _look(name: str, value: Any, now: float) -> Any:
+    """By what states are told apart: everything, with times as ages and sets in order."""
+    if isinstance(value, float) and name in TIMES:
+        return max(-TIMES[name], value - now)
+    if isinstance(value, dict):
+        return [(key, _look(name, part, now)) for key, part in sorted(value.items())]
+    if isinstance(value, set):
+        return sorted(value)
+    if isinstance(value, list | deque | tuple):
+        return [_look(name, part, now) for part in value]
+    if attrs.has(type(value)):
+        return [
+            _look(each.name, getattr(value, each.name), now)
+            for each in attrs.fields(type(value))
+            if each.name not in UNSEEN
+        ]
+    return value
+
+
+@define(eq=False)
+class Machine:
+    """``held``: the next save stays under way; ``after``: the words that wait for it."""
+
+    node: str
+    disk: str
+    clock: float = 10_000.0
+    stored: dict[str, bytes] = field(factory=dict)
+    replica: Replica | None = None
+    held: bool = False
+    saving: dict[str, bytes] | None = None
+    after: list[tuple[str, dict[str, Any]]] = field(factory=list)
+
+    def copy(self) -> Machine:
+        made = evolve(self, stored=dict(self.stored), after=list(self.after))
+        if self.replica is not None:
+            made.replica = type(self.replica).__new__(type(self.replica))
+            made.replica.__dict__ = {name: _clone(part) for name, part in vars(self.replica).items()}
+        return made
+
+    def look(self) -> bytes:
+        inside = (
+            None
+            if self.replica is None
+            else [
+                (name, _look(name, part, self.clock))
+                for name, part in sorted(vars(self.replica).items())
+                if name not in UNSEEN
+            ]
+        )
+        seen = (self.disk, sorted(self.stored.items()), self.held, self.saving, self.after, inside)
+        return hashlib.blake2b(repr(seen).encode(), digest_size=16).digest()
+
+
+@frozen
+class Face:
+    """What the checker reads of a machine's state. ``keys``: of the save that is held; ``lead``: the term in
+    which it leads, or 0; ``base`` and ``identity`` of the document in force; ``durable`` and ``known``: calls
+    on disk, and in memory; ``kept``: the entries on disk, (index, term); ``committed``: a leader's newest
+    that is committed."""
+
+    node: str
+    disk: str
+    up: bool
+    held: bool
+    keys: tuple[str, ...] | None
+    lead: int
+    version: int
+    base: int
+    identity: str
+    durable: frozenset[str]
+    known: frozenset[str]
+    kept: frozenset[tuple[int, int]]
+    committed: tuple[int, int]
+
+
+def _face(machine: Machine) -> Face:
+    replica, stored = machine.replica, machine.stored.get("log", b"")
+    durable = frozenset(name for name in CALLS if f'"call-{name}"'.encode() in stored)
+    entries = Log.read(stored).entries if stored else []
+    kept = frozenset((entry.index, entry.term) for entry in entries)
+    keys = None if machine.saving is None else tuple(sorted(machine.saving))
+    if replica is None:
+        return Face(
+            machine.node,
+            machine.disk,
+            False,
+            machine.held,
+            keys,
+            0,
+            0,
+            0,
+            "",
+            durable,
+            frozenset(),
+            kept,
+            (0, 0),
+        )
+    document, log = replica.current or {"base": -1, "identity": ""}, replica._log
+    known = {
+        *(identity for _, identity in log.state.history.taken),
+        *(entry.identity for entry in log.entries),
+    }
+    lead = replica.term if replica.is_leader else 0
+    return Face(
+        machine.node,
+        machine.disk,
+        True,
+        machine.held,
+        keys,
+        lead,
+        replica.version,
+        document["base"],
+        document["identity"],
+        durable,
+        frozenset(name for name in CALLS if f"call-{name}" in known),
+        kept,
+        (log.commit, log.state.term) if lead else (0, 0),
+    )
+
+
+@frozen
+class Outcome:
+    """Of one event at one machine: its next state's number, words, and answers (call, status)."""
+
+    state: int
+    words: tuple[Said, ...]
+    answers: tuple[tuple[str, int], ...]
+
+
+class Machines:
+    """All states of machines met so far, and what each event did to each."""
+
+    def __init__(self, make: Make, keep_id: bool = False) -> None:
+        self.make, self.keep_id = make, keep_id
+        self.states: list[Machine] = []
+        self.faces: list[Face] = []
+        self.words: list[tuple[str, str, str]] = []  # sender's disk, receiver's, JSON
+        self._state_of: dict[bytes, int] = {}
+        self._word_of: dict[tuple[str, str, str], int] = {}
+        self._done: dict[tuple[int, str, Any], Outcome] = {}
+
+    def state(self, machine: Machine) -> int:
+        look = machine.look()
+        number = self._state_of.setdefault(look, len(self.states))
+        if number == len(self.states):
+            self.states.append(machine)
+            self.faces.append(_face(machine))
+        return number
+
+    def word(self, sender: str, receiver: str, message: dict[str, Any]) -> int:
+        word = (sender, receiver, json.dumps(message, sort_keys=True))
+        number = self._word_of.setdefault(word, len(self.words))
+        if number == len(self.words):
+            self.words.append(word)
+        return number
+
+    def happens(self, state: int, name: str, what: Any) -> Outcome:
+        """Raises BrokenError."""
+        key = (state, name, what)
+        if key not in self._done:
+            self._done[key] = self._play(self.states[state].copy(), name, what)
+        return self._done[key]
+
+    def _play(self, machine: Machine, name: str, what: Any) -> Outcome:
+        replica, version = machine.replica, 0 if machine.replica is None else machine.replica.version
+        out: list[tuple[str, dict[str, Any]]] = []
+        answers: list[tuple[str, int]] = []
+        if name == "starts":
+            machine.replica = replica = self.make(
+                machine.disk,
+                machine.node,
+                dict(machine.stored) or None,
+                machine.clock,
+                0,
+                tolerance=1,
+                apply=apply,
+            )
+            replica._rng = PINNED
+            replica._deadline = replica._draw()
+        elif name in ("loses power", "is emptied"):
+            machine.stored |= {key: (machine.saving or {})[key] for key in what}
+            if name == "is emptied":
+                machine.stored = {}
+                machine.disk += "" if self.keep_id else "'"
+            machine.replica, machine.saving, machine.after, machine.held = None, None, [], False
+            replica = None
+        elif name == "holds":
+            machine.held = True
+        assert replica is not None or machine.replica is None
+        if replica is not None:
+            self._at_replica(machine, replica, name, what, out)
+            self._pump(machine, replica, out, answers)
+            if replica.version < version:
+                raise BrokenError(
+                    f"the version at {machine.node} goes back from {version} to {replica.version}"
+                )
+        words = tuple((receiver, self.word(machine.disk, receiver, message)) for receiver, message in out)
+        return Outcome(self.state(machine), words, tuple(answers))
+
+    def _at_replica(
+        self, machine: Machine, replica: Replica, name: str, what: Any, out: list[tuple[str, dict[str, Any]]]
+    ) -> None:
+        match name:
+            case "hears":
+                sender, _, text = self.words[what]
+                replica.step(machine.clock, sender, json.loads(text))
+            case "times out" | "beats":
+                machine.clock += TIME_OUT if name == "times out" else BEAT
+                replica.tick(machine.clock, dict(what))
+            case "is called":
+                replica.call(machine.clock, what, call_of(what[0]))
+            case "founds":
+                replica.found(machine.clock, dict(what))
+            case "saves" | "fails to save":
+                if name == "saves":
+                    machine.stored |= machine.saving or {}
+                    self._post(machine, machine.after, out)
+                machine.saving, machine.after, machine.held = None, [], False
+                replica.saved(name == "saves")
+
+    def _pump(
+        self,
+        machine: Machine,
+        replica: Replica,
+        out: list[tuple[str, dict[str, Any]]],
+        answers: list[tuple[str, int]],
+    ) -> None:
+        while (ready := replica.ready()) is not None:
+            answers += [(ticket[0], answer.status) for ticket, answer in ready.answers]
+            if ready.save is None:
+                self._post(machine, ready.messages, out)
+            elif machine.held:
+                machine.saving, machine.after = ready.save, ready.messages
+            else:
+                machine.stored |= ready.save
+                replica.saved(True)
+                self._post(machine, ready.messages, out)
+
+    def _post(
+        self,
+        machine: Machine,
+        messages: list[tuple[str, dict[str, Any]]],
+        out: list[tuple[str, dict[str, Any]]],
+    ) -> None:
+        for _, message in messages:
+            if message["kind"] in ("vote_reply", "pre_vote_reply") and message["yes"]:
+                kept = machine.stored.get("log")
+                if kept is None or Log.read(kept).last < 0:
+                    raise BrokenError(f"the blank disk of {machine.node} votes")
+        out += messages
--- a/tests/test_check_consensus.py
+++ b/tests/test_check_consensus.py
@@ -7,18 +7,10 @@
 
 import pytest
 
-from larklb.lab.check_consensus import (
-    SEEDED,
-    STARTS,
-    Explorer,
-    FoundError,
-    Machine,
-    Machines,
-    Outcome,
-    World,
-    main,
-    seeded,
-)
+from larklb.lab.check_consensus import main, seeded
+from larklb.lab.consensus_breaks import SEEDED
+from larklb.lab.consensus_explorer import STARTS, Explorer, World
+from larklb.lab.consensus_machines import FoundError, Machine, Machines, Outcome
 
 pytestmark = pytest.mark.simulation
 
