--- a/larklb/lab/control_day_faults.py
+++ b/larklb/lab/control_day_faults.py
@@ -127,7 +127,7 @@
         sent, calm = self.world.now, self.world.now - self.world.bounds.contact
         if machine.life != life or machine.disk_mode != "well" or machine.well_since > calm:
             return
-        if not self.world.is_cut_off(machine):
+        if not self.world.is_cut_off(machine) or self.operators.lost > 0.0:
             return
         answers: list[Settled | None] = []
         call = OperatorOrder("replace", self.operators.known, "{}")
