A machine that no majority hears answers at once, and limiters' leases follow the terms

A core machine cut off one way hears its leader and passes calls on, which never arrive: its callers waited 850 ms for nothing. And a limiter's home was tried again 1.25 s after it fell silent (2.5 s, scaled) while others took it for down only after a lease of 2.6 s, which wasn't scaled.

Change: a core machine that is fenced, and doesn't lead, says so at once. The lease of limiters is scaled like their heartbeats.

--- a/larklb/gateway/control_plane.py
+++ b/larklb/gateway/control_plane.py
@@ -258,6 +258,9 @@
         if self.core is not None and self.core.replica.is_leader:
             self._settle_operator(now, self.core, order, done)
             return
+        if self.core is not None and self.core.home.fenced(now):
+            done(AWAY)  # nobody would hear it, or its answer would come too late
+            return
         ip = self.core.leader_ip() if self.core is not None else self.subscriber.home_ip()
         if not ip or ip == self.settings.ip or hops >= MOST_HOPS:
             done(AWAY)
--- a/larklb/gateway/core.py
+++ b/larklb/gateway/core.py
@@ -64,7 +64,7 @@
         self.settings, self.disk, self.post, self.save = settings, me.disk, post, save
         timing = Timing.of(settings.bounds.contact, settings.bounds.convergence)
         self.home = RegistryReplica(
-            me, settings.period, now, alone_ms=timing.quorum, bootstrap=settings.bootstrap
+            me, settings.period, now, scale=timing.scale, bootstrap=settings.bootstrap
         )
         self.replica = Replica(
             me.disk,
--- a/larklb/lab/control_callers.py
+++ b/larklb/lab/control_callers.py
@@ -104,9 +104,12 @@
     def _settled(order: Order) -> bool:
         return order.acknowledged < float("inf") or order.refused < float("inf")
 
-    def _send(self, order: Order, pause: float) -> None:
+    def _send(self, order: Order, pause: float, silent: Machine | None = None) -> None:
+        """To any machine but the one that was ``silent``."""
         if self.world.now - order.begin > GIVE_UP_MS:
             return
+        others = [machine for machine in self.world.machines.values() if machine is not silent]
+        machine = self.world.rng.choice(others)
         call = OperatorOrder("replace", order.base, order.body)
 
         def answered(settled: Settled | None) -> None:
@@ -123,9 +126,10 @@
                 # Where nobody listens the next machine is tried soon; who says 'not now' is given time.
                 wait = pause if settled is not None else PAUSE_MS[0]
                 again = min(PAUSE_MS[1], 1.6 * pause)
-                self.world.at(wait, lambda: self._send(order, again))
+                unheard = machine if settled is None else None
+                self.world.at(wait, lambda: self._send(order, again, unheard))
 
-        self.ask(lambda plane, done: plane.operator_call(self.world.now, call, done), answered)
+        self.ask(lambda plane, done: plane.operator_call(self.world.now, call, done), answered, machine)
 
     def again(self, order: Order) -> None:
         """An order that may long be answered is sent once more, as after a lost answer."""
--- a/larklb/membership/members.py
+++ b/larklb/membership/members.py
@@ -89,9 +89,10 @@
 
 @define
 class Members:
-    """All limiters that a core machine knows."""
+    """All limiters that a core machine knows; ``lease`` in ms."""
 
     of: dict[str, Heard] = field(factory=dict)
+    lease: float = LEASE_MS
 
     def heard(self, now: float, told: Member, direct: bool, fresh: bool = True) -> bool:
         """A record came, from the limiter itself (``direct``) or from a core machine, ``fresh`` where that
@@ -100,7 +101,7 @@
         if known is None:
             if len(self.of) >= MOST_MEMBERS:
                 return False
-            self.of[told.node] = Heard(told, now if fresh else now - LEASE_MS / 2, now if direct else -1e18)
+            self.of[told.node] = Heard(told, now if fresh else now - self.lease / 2, now if direct else -1e18)
             return True
         before = known.member
         # Who is down is each core machine's own view, by its lease: it travels to limiters alone.
@@ -132,7 +133,7 @@
             if silent > FORGET_MS:
                 del self.of[node]
                 down.append(node)
-            elif silent > LEASE_MS and known.member.state == UP:
+            elif silent > self.lease and known.member.state == UP:
                 known.member = evolve(known.member, state=DOWN)
                 down.append(node)
             elif silent > FORGET_MS / 2 and not known.old:
--- a/larklb/registry/replica.py
+++ b/larklb/registry/replica.py
@@ -85,7 +85,7 @@
     me: Member
     period: float  # ms between a server's beats
     born: float
-    alone_ms: float = ALONE_MS
+    scale: float = 1.0  # of the times between core machines and limiters: see ``consensus.timing``
     bootstrap: bool = True  # the whole system starts for the first time: there is no group of voters yet
     members: Members = field(factory=Members)
     registry: Registry = field(init=False)
@@ -104,6 +104,12 @@
 
     def __attrs_post_init__(self) -> None:
         self.registry = Registry(self.period)
+        self.members.lease = membership.LEASE_MS * self.scale
+
+    @property
+    def alone_ms(self) -> float:
+        """Without an echo from a majority for so long, this machine counts as cut off."""
+        return ALONE_MS * self.scale
 
     # Tables -------------------------------------------------------------------------------
 
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -9,11 +9,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from larklb.gateway.control import OperatorOrder, Settled
 from larklb.lab.control_breaks import BREAKS
 from larklb.lab.control_day import SCENARIOS, Day
 from larklb.lab.control_faults import Task, main, played, tasks
 from larklb.lab.control_history import BrokenError, History, Order, Read
 from larklb.lab.control_world import World
+from larklb.membership.members import DOWN, LEASE_MS, UP, Member
+from larklb.registry.replica import RegistryReplica
 
 pytestmark = pytest.mark.simulation
 
@@ -149,3 +152,26 @@
     world.run(2_000.0)
     plane = world.machines["l0"].plane
     assert plane is not None and set(plane.subscriber.cores) == {"c0", "c1", "c2"}
+
+
+def test_a_machine_that_no_majority_hears_lets_no_call_wait() -> None:
+    """It hears a leader, to which nothing that it passes on would come."""
+    world = World(1)
+    for machine in world.machines.values():
+        world.start(machine)
+    world.run(6_000.0)
+    machine = next(m for m in world.cores() if m.core is not None and not m.core.replica.is_leader)
+    world.cut_off(machine, [other for other in world.machines.values() if other is not machine], one_way=True)
+    world.run(world.bounds.contact)
+    answers: list[Settled] = []
+    world.call(machine, lambda plane: plane.operator_call(world.now, OperatorOrder("read"), answers.append))
+    assert [answer.status for answer in answers] == [503]
+
+
+@pytest.mark.parametrize("scale", [0.5, 1.0])
+def test_leases_of_limiters_follow_from_the_terms(scale: float) -> None:
+    home = RegistryReplica(Member("a", "a", "z", 1, "da"), 1500.0, 0.0, scale=scale)
+    home.told_of(0.0, Member("n", "n", "z", 1), True)
+    for now, state in ((0.95 * LEASE_MS * scale, UP), (1.05 * LEASE_MS * scale, DOWN)):
+        home.members.expire(now)
+        assert home.members.of["n"].member.state == state
