Calls' results are one type, core machines have an index, homes' times follow the terms

Cause: what became of a call stood twice with the same five fields (Settled, CallAnswer); Beat and Fetch carried a version that nobody read; core machines were looked for among all limiters several times a tick and once a message; three times of homes (heard lately, subscriber gone) were fixed while all others follow contactMs.

Change: CallResult is a struct of its own inside CallAnswer; the two fields are gone; Members keeps an index of the machines with disks; PRESENT_MS and LEFT_BEATS are scaled by the terms. FOUND_QUIET_MS stays: it is about how far apart processes start.

--- a/larklb/gateway/control.py
+++ b/larklb/gateway/control.py
@@ -13,7 +13,7 @@
 import msgspec
 from attrs import define
 
-from larklb.gateway.messages import CallAnswer, ForwardedCall
+from larklb.gateway.messages import CallResult
 from larklb.gateway.servers import Reply
 from larklb.net.http import Link
 from larklb.registry.registry import DRAINING, STEADY, Server
@@ -24,36 +24,6 @@
 MOST_FIELDS = 8  # of a query
 
 
-@define(frozen=True)
-class Settled:
-    """What became of a call: a status, a text or a document, and for servers where their home is.
-
-    ``problems``: of a 400, each thing that is wrong, where more than the text is known."""
-
-    status: int
-    text: str = ""
-    document: dict[str, Any] | None = None
-    report_to: str = ""
-    problems: tuple[str, ...] = ()
-
-    def answer_to(self, call: ForwardedCall) -> CallAnswer:
-        """The answer to the limiter that passed the call on."""
-        return CallAnswer(
-            number=call.number,
-            session=call.session,
-            status=self.status,
-            text=self.text,
-            document=self.document,
-            report_to=self.report_to,
-            problems=self.problems,
-        )
-
-    @classmethod
-    def told(cls, answer: CallAnswer) -> Settled:
-        """As another limiter answered a call that was passed on to it."""
-        return cls(answer.status, answer.text, answer.document, answer.report_to, answer.problems)
-
-
 @define(frozen=True)
 class OperatorOrder:
     """An operator's call: ``kind`` is 'replace', 'amend' or 'read', ``base`` the version that a change builds
@@ -64,10 +34,10 @@
     body: str = ""
 
 
-AWAY = Settled(503, "nobody who can settle this is in reach: try again, or another limiter")
+AWAY = CallResult(503, "nobody who can settle this is in reach: try again, or another limiter")
 
-SettleServer = Callable[[Server | str], Awaitable[Settled]]  # a beat, or the id of one that leaves
-SettleOrder = Callable[[OperatorOrder], Awaitable[Settled]]
+SettleServer = Callable[[Server | str], Awaitable[CallResult]]  # a beat, or the id of one that leaves
+SettleOrder = Callable[[OperatorOrder], Awaitable[CallResult]]
 StatusCall = Callable[[str, Mapping[str, str]], dict[str, Any] | None]  # path, query
 
 
@@ -122,7 +92,7 @@
             told = self.status(path, dict(parse_qsl(query, max_num_fields=MOST_FIELDS)))
         except ValueError:
             return _invalid([f"query: must have {MOST_FIELDS} fields at most"])
-        return Reply(404) if told is None else self._reply(Settled(200, document=told))
+        return Reply(404) if told is None else self._reply(CallResult(200, document=told))
 
     async def _change(self, kind: str, head: h11.Request, body: bytes) -> Reply:
         base = dict(head.headers).get(calls.BASE_VERSION.encode(), b"")
@@ -135,16 +105,16 @@
         return self._reply(await self.operator(OperatorOrder(kind, int(base), text)))
 
     @staticmethod
-    def _reply(settled: Settled) -> Reply:
-        if settled.status == 400:
-            return _invalid(settled.problems or (settled.text,))
-        if settled.document is not None:
-            return Reply(settled.status, [JSON], msgspec.json.encode(settled.document))
-        if settled.report_to:
-            return Reply(settled.status, [JSON], msgspec.json.encode({"reportTo": settled.report_to}))
-        if settled.text:
-            return Reply(settled.status, [JSON], msgspec.json.encode({"text": settled.text}))
-        return Reply(settled.status, [JSON], b"{}")
+    def _reply(result: CallResult) -> Reply:
+        if result.status == 400:
+            return _invalid(result.problems or (result.text,))
+        if result.document is not None:
+            return Reply(result.status, [JSON], msgspec.json.encode(result.document))
+        if result.report_to:
+            return Reply(result.status, [JSON], msgspec.json.encode({"reportTo": result.report_to}))
+        if result.text:
+            return Reply(result.status, [JSON], msgspec.json.encode({"text": result.text}))
+        return Reply(result.status, [JSON], b"{}")
 
 
 def _invalid(problems: Iterable[str]) -> Reply:
--- a/larklb/gateway/control_plane.py
+++ b/larklb/gateway/control_plane.py
@@ -17,11 +17,12 @@
 
 from larklb.consensus.interface import Answer
 from larklb.consensus.timing import Timing
-from larklb.gateway.control import AWAY, OperatorOrder, Settled
+from larklb.gateway.control import AWAY, OperatorOrder
 from larklb.gateway.core import Core
 from larklb.gateway.forwarding import After, Forwarding
 from larklb.gateway.messages import (
     CallAnswer,
+    CallResult,
     Configuration,
     ConfigurationOffer,
     ControlMessage,
@@ -60,7 +61,7 @@
 MOST_HOPS = 3  # of a call that is passed on: to the home, to the leader, and to the next leader
 UNCONFIRMED_PART = 0.5  # of contactMs: then a core machine that hears no leader uses its disk's version
 
-Done = Callable[[Settled], object]
+Done = Callable[[CallResult], object]
 
 
 class ControlPlane:
@@ -102,7 +103,6 @@
             for heard in self.core.home.cores(now):  # so that whoever asks here learns of them
                 self.subscriber.core(heard.at, heard.member)
             self._take_own(now, self.core)
-        self.subscriber.have_version = self.version()
         self.subscriber.tick(now)
         self.flush()
         if self.subscriber.offered[0] > self.version():
@@ -207,7 +207,7 @@
             return
         self.fetched_at = now
         if ip and ip != self.settings.ip:
-            self.post(ip, Fetch(version=self.version()))
+            self.post(ip, Fetch())
 
     # Calls of servers ---------------------------------------------------------------------
 
@@ -230,7 +230,7 @@
         assert self.core is not None
 
         def settle(known: bool) -> None:
-            done(Settled(200, report_to=self._home_of(call)) if known else AWAY)
+            done(CallResult(200, report_to=self._home_of(call)) if known else AWAY)
 
         if isinstance(call, Server):
             home.heartbeat(now, call, settle)
@@ -271,7 +271,7 @@
     @staticmethod
     def _settle_operator(now: float, core: Core, order: OperatorOrder, done: Done) -> None:
         def settle(answer: Answer) -> None:
-            done(Settled(answer.status, answer.text, answer.document, problems=answer.problems))
+            done(CallResult(answer.status, answer.text, answer.document, problems=answer.problems))
 
         core.call(now, order.kind, order.base, order.body, settle)
 
@@ -279,7 +279,7 @@
 
     def _pass_on(self, ip: str, call: ForwardedCall, done: Done) -> None:
         def answered(answer: CallAnswer | None) -> None:
-            done(AWAY if answer is None else Settled.told(answer))
+            done(AWAY if answer is None else answer.result)
 
         self.forwarding.ask(ip, call, answered)
 
@@ -294,7 +294,7 @@
     def _answers(self, call: ForwardedCall) -> Done:
         """What sends the answer to the limiter that passed a call on."""
 
-        def done(settled: Settled) -> None:
-            self.post(call.address, settled.answer_to(call))
+        def done(result: CallResult) -> None:
+            self.post(call.address, result.answer_to(call))
 
         return done
--- a/larklb/gateway/core.py
+++ b/larklb/gateway/core.py
@@ -16,7 +16,7 @@
 from larklb.consensus.timing import Timing
 from larklb.gateway.messages import Message, Raft
 from larklb.gateway.settings import Settings
-from larklb.membership.members import LEAVING, Member
+from larklb.membership.members import Member
 from larklb.registry.messages import Offer
 from larklb.registry.replica import RegistryReplica
 from larklb.schema import configuration as schema
@@ -24,8 +24,9 @@
 
 log = logging.getLogger("core")
 
-CORES_MS = 1_500.0  # a core machine heard of within this is there, for the group of voters
-FOUND_QUIET_MS = 1_200.0  # the same core machines seen for so long, before a group is founded
+# The same core machines seen for so long, before a group is founded: what counts here is how far apart their
+# processes start, whatever the terms.
+FOUND_QUIET_MS = 1_200.0
 
 Post = Callable[[str, Message], object]
 Save = Callable[[Ready], object]
@@ -105,14 +106,9 @@
         """Called every 50 ms."""
         self.now = now
         members = self.home.members
-        cores = {**members.cores(now, CORES_MS), self.disk: self.settings.node}
-        leaving = frozenset(
-            heard.member.disk
-            for heard in members.of.values()
-            if heard.member.disk and heard.member.state == LEAVING
-        )
+        cores = {**members.cores(now, self.home.present_ms), self.disk: self.settings.node}
         self._found(now, cores)
-        self.replica.tick(now, cores, leaving)
+        self.replica.tick(now, cores, members.leaving_disks())
         self.work(now)
         epoch = self.replica.term if self.replica.leads_surely(now) else None
         self.home.tick(now, me, self.replica.voters if self.replica.founded else {}, epoch, self.offer)
@@ -169,22 +165,18 @@
 
     def _send(self, ready: Ready) -> None:
         for receiver, message in ready.messages:
-            if (ip := self._ip(receiver)) is not None:
+            if (ip := self.home.members.address_of_disk(receiver)) is not None:
                 self.post(ip, Raft(disk=self.disk, message=message))
         for ticket, answer in ready.answers:
             if (done := self.waiting.pop(ticket, None)) is not None:
                 done(answer)
 
-    def _ip(self, disk: str) -> str | None:
-        for heard in self.home.members.of.values():
-            if heard.member.disk == disk:
-                return heard.member.ip
-        return None
-
     def leader_ip(self) -> str | None:
         """Where the leader is; None where there is none, or it is this one."""
         leader = self.replica.leader
-        return self._ip(leader) if leader is not None and leader != self.disk else None
+        if leader is None or leader == self.disk:
+            return None
+        return self.home.members.address_of_disk(leader)
 
     def _note_version(self) -> None:
         document, version = self.replica.current, self.replica.version
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -27,14 +27,14 @@
 from larklb.consensus.errors import ConsensusError
 from larklb.gateway import settings as told
 from larklb.gateway import status
-from larklb.gateway.control import Control, OperatorOrder, Settled
+from larklb.gateway.control import Control, OperatorOrder
 from larklb.gateway.control_plane import ControlPlane
 from larklb.gateway.core import Core
 from larklb.gateway.disk import DiskWriter
 from larklb.gateway.errors import GatewayError, SettingsError
 from larklb.gateway.front import Front, in_force
 from larklb.gateway.listener import Bounds, Listener
-from larklb.gateway.messages import AnyMessage, EstimatesMessage, HandsMessage, QuotaMessage
+from larklb.gateway.messages import AnyMessage, CallResult, EstimatesMessage, HandsMessage, QuotaMessage
 from larklb.gateway.near_exchange import HANDS_MS, NearExchange
 from larklb.gateway.quota_exchange import QuotaExchange
 from larklb.gateway.servers import Reply, Servers
@@ -308,21 +308,21 @@
             most = min(most, max(1, round(YOUNG_SLOTS / limiters)))
         return most
 
-    async def _server_call(self, call: Server | str) -> Settled:
+    async def _server_call(self, call: Server | str) -> CallResult:
         """A server's beat, or the id of one that leaves."""
         return await self._settled(partial(self.plane.server_call, self.wheel.now(), call))
 
-    async def _operator_call(self, order: OperatorOrder) -> Settled:
+    async def _operator_call(self, order: OperatorOrder) -> CallResult:
         """An operator's call."""
         return await self._settled(partial(self.plane.operator_call, self.wheel.now(), order))
 
     @staticmethod
-    async def _settled(ask: Callable[[Callable[[Settled], object]], object]) -> Settled:
-        answered: asyncio.Future[Settled] = asyncio.get_running_loop().create_future()
+    async def _settled(ask: Callable[[Callable[[CallResult], object]], object]) -> CallResult:
+        answered: asyncio.Future[CallResult] = asyncio.get_running_loop().create_future()
 
-        def done(settled: Settled) -> None:
+        def done(result: CallResult) -> None:
             if not answered.done():
-                answered.set_result(settled)
+                answered.set_result(result)
 
         ask(done)
         return await answered
--- a/larklb/gateway/messages.py
+++ b/larklb/gateway/messages.py
@@ -35,9 +35,7 @@
 
 
 class Fetch(Message, frozen=True, kw_only=True, tag="fetch"):
-    """Asks a core machine for the newest configuration; ``version`` is in force at the sender."""
-
-    version: int = msgspec.field(name="v")
+    """Asks a core machine for the newest configuration."""
 
 
 class Configuration(Message, frozen=True, kw_only=True, tag="config"):
@@ -70,16 +68,28 @@
     hops: int = msgspec.field(name="h")
 
 
+class CallResult(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What became of a call: an HTTP status, a text or a document, and for servers where their home is.
+
+    ``problems``: of a 400, each thing that is wrong, where more than the text is known."""
+
+    status: int
+    text: str = ""
+    document: Document | None = None
+    report_to: str = ""
+    problems: Annotated[tuple[str, ...], msgspec.Meta(max_length=PROBLEMS_KEPT)] = ()
+
+    def answer_to(self, call: ForwardedCall) -> CallAnswer:
+        """The answer to the limiter that passed the call on."""
+        return CallAnswer(number=call.number, session=call.session, result=self)
+
+
 class CallAnswer(Message, frozen=True, kw_only=True, tag="answer"):
-    """What became of a call that was passed on: see ``control.Settled``."""
+    """What became of a call that was passed on."""
 
     number: int = msgspec.field(name="n")
     session: str = msgspec.field(name="l")
-    status: int = msgspec.field(name="st")
-    text: str = ""
-    document: Document | None = msgspec.field(default=None, name="doc")
-    report_to: str = msgspec.field(default="", name="to")
-    problems: Annotated[tuple[str, ...], msgspec.Meta(max_length=PROBLEMS_KEPT)] = ()
+    result: CallResult
 
 
 class QuotaMessage(Message, frozen=True, kw_only=True, tag="quota"):
--- a/larklb/lab/control_callers.py
+++ b/larklb/lab/control_callers.py
@@ -14,8 +14,9 @@
 
 from attrs import define, evolve, field
 
-from larklb.gateway.control import OperatorOrder, Settled
+from larklb.gateway.control import OperatorOrder
 from larklb.gateway.control_plane import ControlPlane
+from larklb.gateway.messages import CallResult
 from larklb.lab.control_history import BrokenError, History, Order, Read
 from larklb.lab.control_world import WIRE_MS, Machine, World
 from larklb.registry.registry import DRAINING, STEADY, Server
@@ -112,21 +113,21 @@
         machine = self.world.rng.choice(others)
         call = OperatorOrder("replace", order.base, order.body)
 
-        def answered(settled: Settled | None) -> None:
-            if settled is not None and settled.status == 200:
+        def answered(result: CallResult | None) -> None:
+            if result is not None and result.status == 200:
                 self.history.acknowledge(order, self.world.now)
                 self.acknowledged += 1
                 self.known = max(self.known, order.version)
-            elif settled is not None and settled.status == 412:
+            elif result is not None and result.status == 412:
                 self.history.refuse(order, self.world.now)
                 self.read()
-            elif settled is not None and settled.status == 400:
-                raise BrokenError(f"{order.name} is valid, and answered 400: {settled.text}")
+            elif result is not None and result.status == 400:
+                raise BrokenError(f"{order.name} is valid, and answered 400: {result.text}")
             else:
                 # Where nobody listens the next machine is tried soon; who says 'not now' is given time.
-                wait = pause if settled is not None else PAUSE_MS[0]
+                wait = pause if result is not None else PAUSE_MS[0]
                 again = min(PAUSE_MS[1], 1.6 * pause)
-                unheard = machine if settled is None else None
+                unheard = machine if result is None else None
                 self.world.at(wait, lambda: self._send(order, again, unheard))
 
         self.ask(lambda plane, done: plane.operator_call(self.world.now, call, done), answered, machine)
@@ -141,10 +142,10 @@
         """Reads the newest version somewhere."""
         begin = self.world.now
 
-        def answered(settled: Settled | None) -> None:
-            if settled is None or settled.status != 200:
+        def answered(result: CallResult | None) -> None:
+            if result is None or result.status != 200:
                 return
-            version, name = order_of(settled.document)
+            version, name = order_of(result.document)
             read = Read(version, name, begin, self.world.now)
             self.history.reads.append(read)
             self.known = max(self.known, version)
@@ -155,8 +156,8 @@
 
     def ask(
         self,
-        act: Callable[[ControlPlane, Callable[[Settled], object]], object],
-        answered: Callable[[Settled | None], object],
+        act: Callable[[ControlPlane, Callable[[CallResult], object]], object],
+        answered: Callable[[CallResult | None], object],
         machine: Machine | None = None,
     ) -> None:
         """A call at some machine; ``answered`` once, with None where no answer comes."""
@@ -164,14 +165,14 @@
         machine = machine or world.rng.choice(list(world.machines.values()))
         life = machine.life
 
-        def come(settled: Settled | None) -> None:
+        def come(result: CallResult | None) -> None:
             if call.open:
                 call.open = False
-                answered(settled)
+                answered(result)
 
-        def done(settled: Settled) -> None:
+        def done(result: CallResult) -> None:
             if machine.life == life and world.rng.random() >= self.lost:
-                world.at(world.rng.uniform(*WIRE_MS), lambda: come(settled))
+                world.at(world.rng.uniform(*WIRE_MS), lambda: come(result))
 
         def arrive() -> None:
             if machine.life != life or machine.plane is None:
@@ -224,9 +225,9 @@
         machine = machines.get(server.report_to) or self.world.rng.choice(list(machines.values()))
         server.report_to = ""
 
-        def answered(settled: Settled | None) -> None:
-            if settled is not None and settled.status == 200:
-                server.report_to = settled.report_to.partition(":")[0]
+        def answered(result: CallResult | None) -> None:
+            if result is not None and result.status == 200:
+                server.report_to = result.report_to.partition(":")[0]
                 if row.state == DRAINING and not server.acknowledged:
                     self._drained(server, machine)
                 self.world.at(1_500.0 * self.world.rng.uniform(0.9, 1.1), lambda: self._beat(server))
@@ -290,5 +291,5 @@
         self.servers.pop(server.row.id, None)
         name = server.row.id
         self.operators.ask(
-            lambda plane, done: plane.server_call(self.world.now, name, done), lambda settled: None
+            lambda plane, done: plane.server_call(self.world.now, name, done), lambda result: None
         )
--- a/larklb/lab/control_day_faults.py
+++ b/larklb/lab/control_day_faults.py
@@ -7,7 +7,8 @@
 
 from attrs import define, field
 
-from larklb.gateway.control import OperatorOrder, Settled
+from larklb.gateway.control import OperatorOrder
+from larklb.gateway.messages import CallResult
 from larklb.lab.control_callers import Operators, Servers
 from larklb.lab.control_history import BrokenError
 from larklb.lab.control_world import Machine, World
@@ -129,7 +130,7 @@
             return
         if not self.world.is_cut_off(machine) or self.operators.lost > 0.0:
             return
-        answers: list[Settled | None] = []
+        answers: list[CallResult | None] = []
         call = OperatorOrder("replace", self.operators.known, "{}")
         self.operators.ask(
             lambda plane, done: plane.operator_call(self.world.now, call, done), answers.append, machine
@@ -190,7 +191,7 @@
 
         self.operators.ask(
             lambda plane, done: plane.operator_call(self.world.now, call, done),
-            lambda settled: answered(settled.status if settled is not None else 503),
+            lambda result: answered(result.status if result is not None else 503),
             machine,
         )
         self.operators.read(machine)
--- a/larklb/membership/members.py
+++ b/larklb/membership/members.py
@@ -12,6 +12,7 @@
 
 BEAT_MS = 500.0  # between two beats of a limiter to its home
 LEASE_MS = 2_600.0  # a limiter not heard of for so long is taken for down: five beats, some lost
+PRESENT_MS = 1_500.0  # a core machine heard of within this is there
 FORGET_MS = 60_000.0  # ... and its number is free for another after so long
 GRANTS = 1 << 24  # numbers handed out under one epoch: each has a grant of its own
 MOST_MEMBERS = 20_000  # more are refused: the table must not grow with nonsense
@@ -89,10 +90,13 @@
 
 @define
 class Members:
-    """All limiters that a core machine knows; ``lease`` in ms."""
+    """All limiters that a core machine knows, by node; ``lease`` in ms.
+
+    ``core_machines`` are those of them that have a disk: few, and asked for far more often."""
 
     of: dict[str, Heard] = field(factory=dict)
     lease: float = LEASE_MS
+    core_machines: dict[str, Heard] = field(factory=dict)
 
     def heard(self, now: float, told: Member, direct: bool, fresh: bool = True) -> bool:
         """A record came, from the limiter itself (``direct``) or from a core machine, ``fresh`` where that
@@ -101,7 +105,9 @@
         if known is None:
             if len(self.of) >= MOST_MEMBERS:
                 return False
-            self.of[told.node] = Heard(told, now if fresh else now - self.lease / 2, now if direct else -1e18)
+            known = Heard(told, now if fresh else now - self.lease / 2, now if direct else -1e18)
+            self.of[told.node] = known
+            self._index(known)
             return True
         before = known.member
         # Who is down is each core machine's own view, by its lease: it travels to limiters alone.
@@ -112,8 +118,15 @@
             known.at, known.old = now, False
             known.direct = now if direct else known.direct
         changed, known.member = merge != before, merge
+        self._index(known)
         return changed
 
+    def _index(self, known: Heard) -> None:
+        if known.member.disk:
+            self.core_machines[known.member.node] = known
+        else:
+            self.core_machines.pop(known.member.node, None)
+
     def renewed(self, now: float, node: str, life: int) -> bool:
         """Another core machine hears it; whether it was taken for down here."""
         known = self.of.get(node)
@@ -132,6 +145,7 @@
             silent = now - known.at
             if silent > FORGET_MS:
                 del self.of[node]
+                self.core_machines.pop(node, None)
                 down.append(node)
             elif silent > self.lease and known.member.state == UP:
                 known.member = evolve(known.member, state=DOWN)
@@ -161,13 +175,26 @@
         return without
 
     def cores(self, now: float, within: float) -> dict[str, str]:
-        """Disk ids and names of the core machines heard of lately."""
+        """Disk ids and names of the core machines that were heard of within so many ms and aren't down."""
         return {
-            h.member.disk: n
-            for n, h in self.of.items()
-            if h.member.disk and now - h.at <= within and h.member.state != DOWN
+            heard.member.disk: node
+            for node, heard in self.core_machines.items()
+            if now - heard.at <= within and heard.member.state != DOWN
         }
 
+    def leaving_disks(self) -> frozenset[str]:
+        """Disk ids of the core machines that were told to end, or have ended so."""
+        return frozenset(
+            heard.member.disk for heard in self.core_machines.values() if heard.member.state == LEAVING
+        )
+
+    def address_of_disk(self, disk: str) -> str | None:
+        """The address of the core machine with this disk, None where none is known."""
+        for heard in self.core_machines.values():
+            if heard.member.disk == disk:
+                return heard.member.ip
+        return None
+
 
 def order(me: str, zone: str, cores: Iterable[Member]) -> list[Member]:
     """The agreed order of homes of a limiter: core machines of its zone first, each limiter's own turn."""
--- a/larklb/registry/messages.py
+++ b/larklb/registry/messages.py
@@ -27,13 +27,12 @@
 
 
 class Beat(Message, frozen=True, kw_only=True, tag="beat"):
-    """A subscriber's heartbeat to its home: its own row, the revision that it ``have`` of the table ``of``
-    this home, and the ``version`` of the configuration in force there."""
+    """A subscriber's heartbeat to its home: its own row, and the revision that it ``have`` of the table
+    ``of`` this home."""
 
     member: Row = msgspec.field(name="m")
     of: Position
     have: int
-    version: int = msgspec.field(default=0, name="cv")
 
 
 class Has(Message, frozen=True, kw_only=True, tag="has"):
--- a/larklb/registry/replica.py
+++ b/larklb/registry/replica.py
@@ -36,10 +36,9 @@
 SYNC_PART = 0.4  # of that time passes between two words to each other core machine
 AGAIN_MS = 250.0  # what a subscriber has not shown to have is pushed again after so long, ...
 AGAIN_MOST_MS = 1_000.0  # ... after twice as long each time, up to this: its link may be narrow
-LEFT_MS = 1_800.0  # a subscriber that has not beaten for so long has another home, or is down
+LEFT_BEATS = 3.6  # a subscriber that has not beaten for so many beats has another home, or is down
 RANGES = 16  # of ids, each with a digest
 ROWS = 300  # of a delta at the most: a large table goes in pieces
-KNOWN_MS = 1_500.0  # a core machine heard of within this is asked for acknowledgements
 MEET_MS = 250.0  # in which a home that starts hears of another one that knows more ...
 WAIT_MS = 1_000.0  # ... and in which it waits for any other
 SYNC_BATCH = 2_000  # renewals in one word at the most; the rest follows in another
@@ -111,6 +110,16 @@
         """Without an echo from a majority for so long, this machine counts as cut off."""
         return ALONE_MS * self.scale
 
+    @property
+    def present_ms(self) -> float:
+        """A core machine that was heard of within this is there."""
+        return membership.PRESENT_MS * self.scale
+
+    @property
+    def left_ms(self) -> float:
+        """A subscriber that has not beaten for so long has another home, or is down."""
+        return LEFT_BEATS * membership.BEAT_MS * self.scale
+
     # Tables -------------------------------------------------------------------------------
 
     def _member(self, node: str) -> None:
@@ -128,24 +137,21 @@
                 row["q"] = known.server.sequence if known is not None else 0
         self.table.put("s", name, row)
 
-    def _others(self, now: float) -> list[Heard]:
-        """The other core machines that are to be told."""
+    def _others(self, now: float, within: float) -> list[Heard]:
+        """The other core machines that were heard of within so many ms."""
         return [
-            h
-            for n, h in self.members.of.items()
-            if h.member.disk and n != self.me.node and now - h.at <= membership.FORGET_MS / 2
+            heard
+            for node, heard in self.members.core_machines.items()
+            if node != self.me.node and now - heard.at <= within
         ]
 
     def cores(self, now: float) -> list[Heard]:
         """The other core machines that were heard of lately."""
-        return [
-            heard
-            for heard in self.members.of.values()
-            if heard.member.disk and heard.member.node != self.me.node and now - heard.at <= KNOWN_MS
-        ]
+        return self._others(now, self.present_ms)
 
     def _tell_core(self, now: float, message: Message) -> None:
-        self.out.extend((h.member.ip, message) for h in self._others(now))
+        receivers = self._others(now, membership.FORGET_MS / 2)
+        self.out.extend((heard.member.ip, message) for heard in receivers)
 
     # Limiters -----------------------------------------------------------------------------
 
@@ -241,7 +247,7 @@
         silent = not self.ready or self.fenced(now)
         for node, sub in list(self.subscribers.items()):
             known = self.members.of.get(node)
-            if known is None or now - sub.at > LEFT_MS:
+            if known is None or now - sub.at > self.left_ms:
                 del self.subscribers[node]
                 continue
             if at_once or sub.have < self.table.rev and self._may_push(now, sub):
@@ -296,7 +302,8 @@
             self._settle(message.ask, pledge)
 
     def _settle(self, number: int, pledge: Pledge) -> None:
-        voters = self.voters or {h.member.disk: n for n, h in self.members.of.items() if h.member.disk}
+        core_machines = self.members.core_machines
+        voters = self.voters or {heard.member.disk: node for node, heard in core_machines.items()}
         if len(pledge.by & voters.keys()) * 2 > len(voters):
             del self.pledges[number]
             pledge.done(True)
@@ -434,7 +441,7 @@
         if (
             not self.ready
             and now - self.born > (MEET_MS if self.met else WAIT_MS)
-            and not any(now - at < KNOWN_MS for at in self.ready_cores.values())
+            and not any(now - at < self.present_ms for at in self.ready_cores.values())
         ):
             # Nobody knows more.  Limiters keep for a while what a former home knew and this one does not.
             self.ready = True
--- a/larklb/registry/subscriber.py
+++ b/larklb/registry/subscriber.py
@@ -58,7 +58,6 @@
     fresh: dict[str, Server] = field(factory=dict)  # while a table is seen for the first time
     fresh_members: dict[str, Member] = field(factory=dict)
     offered: Offer = (0, "")
-    have_version: int = 0
     changed: Callable[[], object] = bool  # called after members or servers have changed
 
     # Core machines ------------------------------------------------------------------------
@@ -161,7 +160,7 @@
             return
         self.beat_at = now
         of = (self.home, self.life)
-        beat = Beat(member=self.me.row(), of=of, have=self.have, version=self.have_version)
+        beat = Beat(member=self.me.row(), of=of, have=self.have)
         self.out.append((self.cores[self.home].member.ip, beat))
 
     def another_core(self, now: float, chance: float) -> str:
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -9,7 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from larklb.gateway.control import OperatorOrder, Settled
+from larklb.gateway.control import OperatorOrder
+from larklb.gateway.messages import CallResult
 from larklb.lab.control_breaks import BREAKS
 from larklb.lab.control_day import SCENARIOS, Day
 from larklb.lab.control_faults import Task, main, played, tasks
@@ -168,7 +169,7 @@
     machine = next(m for m in world.cores() if m.core is not None and not m.core.replica.is_leader)
     world.cut_off(machine, [other for other in world.machines.values() if other is not machine], one_way=True)
     world.run(world.bounds.contact)
-    answers: list[Settled] = []
+    answers: list[CallResult] = []
     world.call(machine, lambda plane: plane.operator_call(world.now, OperatorOrder("read"), answers.append))
     assert [answer.status for answer in answers] == [503]
 
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -11,10 +11,9 @@
 import pytest
 
 from larklb.gateway import messages
-from larklb.gateway.control import Settled
 from larklb.gateway.forwarding import MOST_PENDING, Forwarding
 from larklb.gateway.main import HARD_STATE, _open
-from larklb.gateway.messages import PROTOCOL, CallAnswer, Message, OperatorCall, Peek, ServerCall
+from larklb.gateway.messages import PROTOCOL, CallAnswer, CallResult, Message, OperatorCall, Peek, ServerCall
 from larklb.gateway.transport import Transport
 from larklb.membership.members import GRANTS, Member, Members
 from larklb.registry.messages import Beat, NotReady, Ranges, RowsHeard, Synced
@@ -48,7 +47,7 @@
 def answer_of(ip: str, call: Message, status: int) -> CallAnswer:
     """The answer as it comes from a machine."""
     assert isinstance(call, ServerCall | OperatorCall)
-    answer = messages.addressed(Settled(status).answer_to(call), "node", ip)
+    answer = messages.addressed(CallResult(status).answer_to(call), "node", ip)
     assert isinstance(answer, CallAnswer)
     return answer
 
@@ -64,7 +63,7 @@
     assert to_old.number == to_new.number, "numbers begin anew in each process"
     assert not calls.answered(to_old) and not calls.answered(answer_of("10.0.0.1", now[0][1], 503))
     assert not answers
-    assert calls.answered(to_new) and [a and a.status for a in answers] == [503]
+    assert calls.answered(to_new) and [a and a.result.status for a in answers] == [503]
     assert not calls.answered(to_new) and len(answers) == 1, "once"
 
 
@@ -101,7 +100,7 @@
 
 def test_a_message_is_decoded_as_it_was_encoded() -> None:
     call = OperatorCall(number=7, session="s", kind="replace", base=3, body='{"x": 1}', hops=2)
-    for message in (call, Settled(200, document={"version": 4}).answer_to(call), Peek(), NotReady()):
+    for message in (call, CallResult(200, document={"version": 4}).answer_to(call), Peek(), NotReady()):
         sent = messages.addressed(message, "node", "10.0.0.1")
         assert messages.decode(messages.encode(sent)) == sent
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -19,9 +19,8 @@
 from larklb.changefeed import table as gauge
 from larklb.changefeed.table import Table
 from larklb.gateway import messages
-from larklb.gateway.control import Settled
 from larklb.gateway.errors import MessageError
-from larklb.gateway.messages import CallAnswer, ServerCall
+from larklb.gateway.messages import CallAnswer, CallResult, ServerCall
 from larklb.membership import members as membership
 from larklb.membership.members import DOWN, LEAVING, UP, Member, Members, member_of
 from larklb.membership.messages import Message, Row, Rows
@@ -265,7 +264,7 @@
             case ServerCall() as asked:
                 call = server_of(asked.id, asked.row) if asked.row is not None else asked.id
                 self.server_call(node, call, lambda known: self.post(
-                    node, asked.address, Settled(200 if known else 503).answer_to(asked)))
+                    node, asked.address, CallResult(200 if known else 503).answer_to(asked)))
             case CallAnswer():
                 if (waiting := node.calls.pop(message.number, None)) is not None:
                     waiting(message)
@@ -317,7 +316,7 @@
         else:
             node.called += 1
             number, life = node.called, node.life
-            node.calls[number] = lambda answer: reply(answer is not None and answer.status == 200)
+            node.calls[number] = lambda answer: reply(answer is not None and answer.result.status == 200)
 
             def late() -> None:
                 if node.life == life and (waiting := node.calls.pop(number, None)) is not None:
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -28,9 +28,8 @@
 from larklb.consensus.replica import Replica
 from larklb.gateway import messages, status
 from larklb.gateway import settings as told
-from larklb.gateway.control import Settled
 from larklb.gateway.main import Limiter
-from larklb.gateway.messages import CallAnswer, OperatorCall
+from larklb.gateway.messages import CallAnswer, CallResult, OperatorCall
 from larklb.gateway.transport import Transport
 from larklb.lab import system as lab
 from larklb.lab.system import CHANGE, CONFIGURATION, Net, settings
@@ -414,10 +413,10 @@
     assert all(problems and all(isinstance(line, str) for line in problems) for problems in found)
     assert [line.split(":")[0] for line in found[5]] == ["address"], "the first of an item"
     call = OperatorCall(number=1, session="s", kind="replace", base=0, body="", hops=1)
-    answer = Settled(400, "a; b", problems=("a; b", "c")).answer_to(call)
+    answer = CallResult(400, "a; b", problems=("a; b", "c")).answer_to(call)
     passed_on = messages.decode(messages.encode(messages.addressed(answer, "n", "10.0.0.1")))
     assert isinstance(passed_on, CallAnswer)
-    assert Settled.told(passed_on) == Settled(400, "a; b", problems=("a; b", "c"))
+    assert passed_on.result == CallResult(400, "a; b", problems=("a; b", "c"))
 
 
 def test_words_after_the_end_go_nowhere() -> None:
@@ -426,7 +425,7 @@
         await culvert.start()
         await culvert.stop()
         await asyncio.sleep(0)             # the transport is closed in the loop's next turn
-        late = CallAnswer(number=1, session="s", status=200)     # to a call that was passed on
+        late = CallAnswer(number=1, session="s", result=CallResult(200))     # to a call that was passed on
         culvert.post("127.0.0.2", late)
         return culvert.counts["sent"]
 
