--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -60,6 +60,7 @@
 from larklb.registry.subscriber import Subscriber
 from larklb.schema import calls
 from larklb.schema import configuration as schema
+from larklb.schema.document import digest, parse
 from larklb.wheel import Timer, Wheel
 
 PERIOD_MS = 1_500.0        # between a server's beats, as on the operators' sites
@@ -648,9 +649,9 @@
 
     add("bytes on the wire", "KB", len(line) / 1e3)
     add("CPU to amend and check (holder)", "ms", spent(lambda: apply(document, call)) * 1e3)
-    add("CPU for its digest (holder)", "ms", spent(lambda: schema.digest(document)) * 1e3)
+    add("CPU for its digest (holder)", "ms", spent(lambda: digest(document)) * 1e3)
     add("CPU to encode it for the disk (holder)", "ms", spent(lambda: encode(document)) * 1e3)
-    add("CPU to read a call (holder)", "ms", spent(lambda: schema.parse(body)) * 1e3)
+    add("CPU to read a call (holder)", "ms", spent(lambda: parse(body)) * 1e3)
     add("CPU to send it once (home)", "ms", spent(lambda: _ENCODE.encode(document)) * 1e3)
     add("CPU to take it (limiter)", "ms",
         spent(lambda: in_force(schema.check(_DECODE.decode(line), 0))) * 1e3)
--- a/larklb/cli/system_calls.py
+++ b/larklb/cli/system_calls.py
@@ -14,8 +14,10 @@
 
 from attrs import define, field
 
-from larklb.schema import calls, configuration
+from larklb.schema import calls
+from larklb.schema.document import parse
 from larklb.schema.errors import InvalidError, SchemaError
+from larklb.schema.fields import shown
 
 DONE, OFF, UNUSABLE = 0, 1, 2          # exit statuses, see `larklb.cli.system`
 
@@ -50,7 +52,7 @@
         try:
             found[calls.address(part.strip())] = None
         except ValueError as error:
-            raise UnusableError(f"ADDRESS: {configuration.shown(part)}: must be {error}, "
+            raise UnusableError(f"ADDRESS: {shown(part)}: must be {error}, "
                                 "or several with commas") from error
     return list(found)
 
@@ -66,7 +68,7 @@
     def document(self) -> Document:
         """The JSON object in it; SilentError where it is none, as whoever answers is no limiter."""
         try:
-            return configuration.parse(self.body)
+            return parse(self.body)
         except SchemaError as error:
             raise SilentError(f"{self.address}: its answer is {error}") from error
 
@@ -216,7 +218,7 @@
 def read_document(file: Path) -> Document:
     """The JSON object in a file; UnusableError."""
     try:
-        return configuration.parse(file.read_bytes())
+        return parse(file.read_bytes())
     except OSError as error:
         raise UnusableError(f"{file}: {error.strerror}: must be a file with one JSON object") from error
     except SchemaError as error:
--- a/larklb/cli/system_config.py
+++ b/larklb/cli/system_config.py
@@ -23,9 +23,11 @@
 )
 from larklb.gateway import settings as told
 from larklb.gateway.errors import SettingsError
-from larklb.schema import calls
+from larklb.schema import amendments, calls
 from larklb.schema import configuration as schema
+from larklb.schema.document import digest
 from larklb.schema.errors import InvalidError
+from larklb.schema.fields import SECRET, problem
 
 LEAST_DESCRIPTORS = 264    # 200 that are no sockets, and 64 that are
 
@@ -99,7 +101,7 @@
     sizes = {"version": found.version, "services": len(found.services), "hosts": len(found.hosts),
              "routes": sum(len(host.paths) for host in found.hosts), "tenants": len(found.tenants or ())}
     if json:
-        line({"file": str(file), "usable": True, "problems": [], "digest": schema.digest(document), **sizes})
+        line({"file": str(file), "usable": True, "problems": [], "digest": digest(document), **sizes})
     else:
         print(f"{file}: usable, " + ", ".join(f"{name} {count}" for name, count in sizes.items()))
     return DONE
@@ -119,7 +121,7 @@
         except InvalidError as error:
             raise told_problems(base, error) from error
         if "upsert" in document or "remove" in document:
-            document = schema.amend(old, document)
+            document = amendments.amend(old, document)
     schema.check(document, before)
     return document, before
 
@@ -202,9 +204,9 @@
 def _compare(rows: list[Row], what: str, name: str, old: Document, new: Document) -> None:
     for field in [*old, *(field for field in new if field not in old)]:
         before, after = old.get(field), new.get(field)
-        if schema.digest({"": before}) == schema.digest({"": after}):
+        if digest({"": before}) == digest({"": after}):
             continue
-        if field in schema.SECRET:
+        if field in SECRET:
             gone, come = (set(a or ()) - set(b or ()) for a, b in ((before, after), (after, before)))
             if not gone and not come:
                 continue
@@ -244,9 +246,9 @@
     """
     document = read_document(file)
     try:
-        schema.amend({"version": base, "services": [], "hosts": []}, document)
+        amendments.amend({"version": base, "services": [], "hosts": []}, document)
         if document["version"] <= base:
-            raise InvalidError([schema.problem("version", document["version"], f"above {base}")])
+            raise InvalidError([problem("version", document["version"], f"above {base}")])
     except InvalidError as error:
         raise told_problems(file, error) from error
     return _change(address, calls.AMEND, file, base, document, json)
@@ -294,7 +296,7 @@
         found = schema.check(document, -1)
     except InvalidError as error:
         raise SilentError(f"{address}: what it gives is no configuration: {error}") from error
-    print(f"version {found.version}, digest {schema.digest(document)}")
+    print(f"version {found.version}, digest {digest(document)}")
     table([{"service": s.name, "probe": s.probe, "saturation": s.saturation,
             "routes": sum(s.name in schema.targets(r) for h in found.hosts for r in h.paths)}
            for s in found.services], ("service", "probe", "saturation", "routes"))
--- a/larklb/gateway/core.py
+++ b/larklb/gateway/core.py
@@ -20,6 +20,8 @@
 from larklb.registry.messages import Offer
 from larklb.registry.replica import RegistryReplica
 from larklb.schema import configuration as schema
+from larklb.schema.amendments import amend
+from larklb.schema.document import digest, parse
 from larklb.schema.errors import InvalidError, SchemaError
 
 log = logging.getLogger("core")
@@ -40,7 +42,7 @@
         elif document is None:
             raise RefusedError(400, "there is no configuration that could be amended")
         else:
-            changed = schema.amend(document, call.body)
+            changed = amend(document, call.body)
         schema.check(changed, int(document["version"]) if document is not None else 0)
     except SchemaError as error:
         problems = error.problems if isinstance(error, InvalidError) else ()
@@ -89,11 +91,11 @@
     def call(self, now: float, kind: str, base: int, body: str, done: Callable[[Answer], object]) -> None:
         """An operator's call at the leader; ``done`` is told what became of it, once."""
         try:
-            document = schema.parse(body.encode()) if kind != "read" else {}
+            document = parse(body.encode()) if kind != "read" else {}
         except SchemaError as error:
             done(Answer(400, str(error), None))
             return
-        identity = schema.digest({"kind": kind, "base": base, "body": document})
+        identity = digest({"kind": kind, "base": base, "body": document})
         self.tickets += 1
         ticket = str(self.tickets)
         self.waiting[ticket] = done
@@ -182,7 +184,7 @@
         document, version = self.replica.current, self.replica.version
         if document is not None and version != self.told_version and self.replica.confirmed:
             self.told_version = version
-            self.offer = (version, schema.digest(document))
+            self.offer = (version, digest(document))
             self.home.push(self.now, self.offer, at_once=True)
             self.flush()
 
--- a/larklb/lab/system.py
+++ b/larklb/lab/system.py
@@ -24,7 +24,9 @@
 from attrs import define, field
 
 from larklb.lab.yard import ROOT, read_head
-from larklb.schema import calls, configuration
+from larklb.schema import calls
+from larklb.schema.amendments import amend
+from larklb.schema.document import digest, parse
 
 LEAST_S = 6.0              # of requests, in which a killed limiter is back before the end
 START_S = 25.0             # for all limiters to be ready: a busy machine starts slowly
@@ -264,7 +266,7 @@
                 await asyncio.sleep(self.chance.uniform(*WORK_S))
             finally:
                 self.running -= 1
-        seal = configuration.digest({"id": self.id, "attempt": headers["x-attempt-id"]})[:16]
+        seal = digest({"id": self.id, "attempt": headers["x-attempt-id"]})[:16]
         return 200, {"X-Server-Seal": seal, **same}, f"{path} for {headers.get('x-tenant', '')}".encode()
 
     async def beat(self) -> bool:
@@ -509,7 +511,7 @@
         with suppress(OSError, TimeoutError):
             code, _, body = await call(f"{self.net.ip(i)}:{self.net.control}", "GET", path)
             if code == 200:
-                return configuration.parse(body)
+                return parse(body)
         return {}
 
     async def leader(self) -> int:
@@ -601,7 +603,7 @@
             with suppress(OSError, TimeoutError):
                 status, _, body = await call(address, "GET", calls.READ)
                 if status == 200:
-                    return configuration.parse(body)
+                    return parse(body)
         return {}
 
     def runs(self) -> Counter[str]:
@@ -633,9 +635,9 @@
         yield ("nothing came to the drained server after its bound" if not self.servers[-1].late else
                f"{self.servers[-1].late} requests came to the drained server after its bound",
                not self.servers[-1].late)
-        wanted = configuration.amend(CONFIGURATION, CHANGE)
+        wanted = amend(CONFIGURATION, CHANGE)
         yield ("the configuration read back is version 3, as it was amended",
-               bool(document) and configuration.digest(document) == configuration.digest(wanted))
+               bool(document) and digest(document) == digest(wanted))
 
     async def stop(self) -> None:
         """Ends what it started, and nothing else."""
--- a/larklb/schema/calls.py
+++ b/larklb/schema/calls.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass, field
 from typing import Any, Literal
 
-from larklb.schema.configuration import Item, at_least, choice, parse, problem, read, wire
+from larklb.schema.document import parse
 from larklb.schema.errors import InvalidError
+from larklb.schema.fields import Item, at_least, choice, problem, read, wire
 
 # Full matches; the group is the server's id, bounded since it becomes a key of tables.
 HEARTBEAT = re.compile(r"/larklb/instances/([^/?#\s]{1,128})/heartbeat")
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -16,7 +16,9 @@
 from hypothesis import strategies as st
 
 from larklb.schema import calls, configuration
-from larklb.schema.configuration import Configuration, amend, check, digest, parse
+from larklb.schema.amendments import REMOVE_PARTS, UPSERT_PARTS, amend
+from larklb.schema.configuration import Configuration, check
+from larklb.schema.document import digest, parse
 from larklb.schema.errors import PROBLEMS_KEPT, InvalidError, UnreadableError
 from larklb.schema.routing import Keys, Routes
 
@@ -319,5 +321,5 @@
         with pytest.raises(InvalidError) if key in schemas["Configuration"]["required"] else nullcontext():
             check(document, 0)
     change = schemas["Change"]["properties"]
-    assert tuple(change["upsert"]["properties"]) == configuration.UPSERT_PARTS
-    assert tuple(change["remove"]["properties"]) == configuration.REMOVE_PARTS
+    assert tuple(change["upsert"]["properties"]) == UPSERT_PARTS
+    assert tuple(change["remove"]["properties"]) == REMOVE_PARTS
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -36,6 +36,7 @@
 from larklb.membership.members import Member
 from larklb.registry.registry import Server
 from larklb.schema import calls, configuration
+from larklb.schema.amendments import amend
 from larklb.schema.errors import InvalidError
 from larklb.storage.store import Store
 from tests.standins import ROOT
@@ -172,7 +173,7 @@
 
 def test_configurations_are_checked_and_compared(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     old, change = put(tmp_path, "old.json", CONFIGURATION), put(tmp_path, "change.json", CHANGE)
-    amended = configuration.amend(CONFIGURATION, CHANGE)
+    amended = amend(CONFIGURATION, CHANGE)
     amended["tenants"] = [{**amended["tenants"][0], "keys": ["another-key"], "ratePerS": 63}]
     new = put(tmp_path, "new.json", amended)
     assert system.main(["check-config", change]) == 2
