--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -38,7 +38,8 @@
 
 from benchmarks.load import machine
 from larklb.admission.choice import Choice, Place
-from larklb.admission.quotas import Allowance, Ask, Quotas
+from larklb.admission.quota_records import Allowance, Ask
+from larklb.admission.quotas import Quotas
 from larklb.consensus.interface import Answer, Call, Ready
 from larklb.consensus.log import encode
 from larklb.gateway import messages
--- a/larklb/admission/quotas.py
+++ b/larklb/admission/quotas.py
@@ -27,9 +27,25 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, Final, TypeVar
 
-from attrs import define, field
-
 from larklb.admission.errors import UnreadableError
+from larklb.admission.quota_messages import BIG, read_number, read_text, read_whole
+from larklb.admission.quota_records import (
+    GRANT_MS,
+    HELLO_MS,
+    MAX_TIMEOUT_MS,
+    NOTE_MS,
+    SILENCE_MAX_MS,
+    SILENCE_MIN_MS,
+    Allowance,
+    Ask,
+    Asker,
+    Bound,
+    OwnedBucket,
+    OwnerPeer,
+    PendingAsk,
+    Slice,
+    Verdict,
+)
 from larklb.quota.breaker import CircuitBreaker
 from larklb.quota.bucket import TokenBucket
 from larklb.quota.ring import digest, ring_owner
@@ -37,34 +53,22 @@
 TENANTS = 200_000  # tracked at once, in each table
 ASKS_OUT = 4096  # waiting for a verdict; beyond it the slice decides
 ASKERS = 1024  # of one tenant
-FIRST_TIMEOUT_MS = 60.0  # before a round trip has been seen
-MIN_TIMEOUT_MS = 25.0  # quick peers still stall for a garbage collection or a busy processor
-MAX_TIMEOUT_MS = 120.0  # a request is held for it
 LATE_MS = 2000.0  # a verdict after the time-out still tells the round trip and the copy
 COPY_MS = 1000.0  # up to this age a slice is called the late copy's (design)
-GRANT_MS = 110_000.0  # how long a slice holds without a word of the owner ...
 APART_MS = 120_000.0  # ... and how long it is set aside there, or for a limiter that vanished
 IDLE_MS = 1500.0  # without a request before a slice is given back ...
-NOTE_MS = 500.0  # ... and again, at first after this long and then twice as long
 NOTE_MAX_MS = 8000.0
 NOTES = 64  # in one go
-SILENCE_GAPS = 4.0  # mean gaps between an asker's asks that count as silence: 2% of gaps are longer
-SILENCE_MIN_MS = 200.0  # a lost ask and its time-out aren't silence
-SILENCE_MAX_MS = 2000.0  # longer than an idle asker takes to give back
 FIRST_GAP_MS = 500.0  # for an asker that has asked once, or that of the tenant's rate if it is less
 GAP_WEIGHT = 0.125  # of the last gap in the mean
 MOVED_MS = 3000.0  # after a change of the ring, new buckets may be those of other owners ...
 RESTARTED_MS = 10_000.0  # ... as may those of a process that restarted
 MOVED_PART = 0.25  # of the burst: such a bucket starts with no more
 LOWER_MS = 1000.0  # for so long later asks may lower a new bucket, by what they know to be spent
-HELLO_MS = 200.0  # between words to a limiter that hasn't agreed to the ring, and then twice as long
 HELLO_MAX_MS = 4000.0
-UNKNOWN_PART = 0.1  # of its slice of the rate, for a limiter that holds none
 UNKNOWN_TOKENS = 10.0  # that all such limiters have together at first
 ASSUMED_LIMITERS = 16  # before the ring is known
-SLACK_PART = 0.75  # of the rule's slack is for slices; the rest for what is seen late
 WHOLE = 1.0 - 1e-9  # a token, less what sums of fractions lose
-BIG = 1e12  # no figure of a sane word is above it
 
 OWNER: Final = "owner"
 ASKED: Final = "asked"
@@ -74,138 +78,6 @@
 T = TypeVar("T")
 
 
-@define(frozen=True)
-class Bound:
-    """What the rule lets in beyond a quota: in any ``window_s`` this part of it, and ``slack``."""
-
-    window_s: float = 5.0
-    overshoot: float = 0.1
-    slack: float = 20.0
-
-
-@define(frozen=True)
-class Allowance:
-    """What the configuration gives a tenant: ``rate`` a second (0: no limit), ``burst`` in requests."""
-
-    tenant: str
-    rate: float
-    burst: float
-
-
-@define
-class Verdict:
-    """``retry_after_ms`` is 0 when allowed; ``by`` tells who decided: owner, asked, copy or slice."""
-
-    allowed: bool
-    retry_after_ms: float
-    by: str
-
-
-@define
-class Ask:
-    """To be sent to the limiter with the ring number ``owner``; given up at ``give_up_at`` (ms)."""
-
-    number: int
-    owner: int
-    message: dict[str, Any]
-    give_up_at: float
-
-
-@define
-class _Out:
-    allowance: Allowance
-    owner: int
-    sent: float
-    given_up: bool = False
-
-
-@define
-class _Slice:
-    """What this limiter may let in of a tenant by itself."""
-
-    rate: float
-    burst: float
-    tokens: float
-    at: float
-    used: float  # last request
-    rule: Bound
-    copied: float = -math.inf  # when the copy was asked for
-    number: int = -1  # of the ask that brought it
-    owner: int = -1  # whose copy it is
-    spent: int = 0  # let in without the owner, in this life ...
-    heard: int = 0  # ... of which an owner has heard
-    note_at: float = -math.inf
-    note_gap: float = NOTE_MS
-
-    def most(self, limiters: int) -> float:
-        """The tokens it holds: a copy may be of just before the owner's burst was spent."""
-        rule = self.rule
-        spare = rule.overshoot * (rule.window_s * self.rate + self.burst) + rule.slack * SLACK_PART
-        # A token must fit in, or a small tenant would get nothing.
-        return max(1.0, min(self.burst, spare) / limiters)
-
-    def fill(self, now: float, limiters: int) -> float:
-        """Tokens at ``now``; returns the rate a second that it fills at."""
-        held = now - self.copied <= GRANT_MS
-        rate = self.rate / limiters * (1.0 if held else UNKNOWN_PART)
-        gain = max(0.0, now - self.at) * rate / 1000.0
-        self.tokens = min(self.most(limiters), self.tokens + gain)
-        self.at = max(self.at, now)
-        return rate
-
-
-@define
-class _Asker:
-    """One that asks the owner for a tenant: its slice, and what of it is set aside."""
-
-    heard: float
-    life: int
-    spent: int  # what it last told
-    gap: float
-    left: float = 0.0  # what it was told last
-    apart: bool = False
-    aside: float = 0.0  # at ``heard``, while apart
-
-    def silence(self) -> float:
-        return min(SILENCE_MAX_MS, max(SILENCE_MIN_MS, SILENCE_GAPS * self.gap))
-
-
-@define
-class _Owned:
-    bucket: TokenBucket
-    used: float
-    moved: bool  # made where another owner may have been: some may still ask it
-    lost: bool = False  # another is the owner now
-    askers: dict[int, _Asker] = field(factory=dict)
-    check_at: float = -math.inf  # no asker turns silent, and no part changes, before
-    apart: int = 0
-
-
-@define
-class _Peer:
-    """Round trips to an owner, RFC 6298 in milliseconds."""
-
-    breaker: CircuitBreaker = field(factory=CircuitBreaker)
-    mean: float = 0.0
-    spread: float = -1.0  # below 0: none seen yet
-    used: float = -math.inf
-    agreed: bool = False  # it has this one's ring, and knows that this one is there
-    hello_at: float = -math.inf
-    hello_gap: float = HELLO_MS
-
-    def seen(self, trip: float) -> None:
-        if self.spread < 0:
-            self.mean, self.spread = trip, trip / 2.0
-        else:
-            self.spread += 0.25 * (abs(self.mean - trip) - self.spread)
-            self.mean += 0.125 * (trip - self.mean)
-
-    def timeout(self) -> float:
-        if self.spread < 0:
-            return FIRST_TIMEOUT_MS
-        return min(MAX_TIMEOUT_MS, max(MIN_TIMEOUT_MS, self.mean + 4.0 * self.spread))
-
-
 class Quotas:
     """All quotas as one limiter, ``node``, sees them.
 
@@ -228,11 +100,11 @@
         self._gone: dict[int, float] = {}
         self._ring: Sequence[int] = ()
         self._owners: dict[str, int] = {}
-        self._owned: dict[str, _Owned] = {}
-        self._slices: dict[str, _Slice] = {}
-        self._out: dict[int, _Out] = {}
+        self._owned: dict[str, OwnedBucket] = {}
+        self._slices: dict[str, Slice] = {}
+        self._out: dict[int, PendingAsk] = {}
         self._waiting = 0
-        self._peers: dict[int, _Peer] = {}
+        self._peers: dict[int, OwnerPeer] = {}
         self._number = 0
         self._version = 0
         self._table: dict[str, Allowance] = {}
@@ -293,7 +165,7 @@
             return self._alone(now, part)
         self._number += 1
         self._waiting += 1
-        self._out[self._number] = _Out(allowance, owner, now)
+        self._out[self._number] = PendingAsk(allowance, owner, now)
         message = {
             "k": "ask",
             "n": self._number,
@@ -321,18 +193,22 @@
     def told(self, now: float, message: dict[str, Any]) -> tuple[int, Verdict] | None:
         """An answer: the ask's number and its verdict; None when it is unknown, unreadable or too late."""
         try:
-            kind, number = message.get("k"), _whole(message, "n")
+            kind, number = message.get("k"), read_whole(message, "n")
             if kind == "backed":
-                self._given_back(_text(message, "t"), number)
+                self._given_back(read_text(message, "t"), number)
                 return None
             if kind == "hi":
-                if _whole(message, "ring") == self._ring_digest() and number in self._live:
+                if read_whole(message, "ring") == self._ring_digest() and number in self._live:
                     self._agree(now, number)
                 return None
             if kind != "verdict":
                 raise UnreadableError("no answer")
-            ok, left, wait = message.get("ok"), _figure(message, "left", -BIG), _figure(message, "wait")
-            spent = _whole(message, "spent")
+            ok, left, wait = (
+                message.get("ok"),
+                read_number(message, "left", -BIG),
+                read_number(message, "wait"),
+            )
+            spent = read_whole(message, "spent")
             if not isinstance(ok, bool):
                 raise UnreadableError("ok")
         except UnreadableError:
@@ -486,23 +362,23 @@
             for owned in self._owned.values():
                 owned.check_at = -math.inf
 
-    def _peer(self, now: float, number: int) -> _Peer:
+    def _peer(self, now: float, number: int) -> OwnerPeer:
         peer = self._peers.get(number)
         if peer is None:
-            peer = self._peers[number] = _Peer()
+            peer = self._peers[number] = OwnerPeer()
         peer.used = now
         return peer
 
     # -- as an asker
 
-    def _slice(self, now: float, allowance: Allowance) -> _Slice:
+    def _slice(self, now: float, allowance: Allowance) -> Slice:
         part = self._slices.get(allowance.tenant)
         if part is None:
             if len(self._slices) >= TENANTS:
                 del self._slices[next(iter(self._slices))]
             count = self._limiters()
             tokens = min(1.0, UNKNOWN_TOKENS / count, allowance.burst / count)
-            part = self._slices[allowance.tenant] = _Slice(
+            part = self._slices[allowance.tenant] = Slice(
                 allowance.rate, allowance.burst, tokens, now, now, self._bound
             )
         elif part.rate != allowance.rate or part.burst != allowance.burst:
@@ -510,7 +386,7 @@
             part.rate, part.burst = allowance.rate, allowance.burst
         return part
 
-    def _alone(self, now: float, part: _Slice) -> Verdict:
+    def _alone(self, now: float, part: Slice) -> Verdict:
         rate = part.fill(now, self._limiters())
         by = COPY if now - part.copied <= COPY_MS else SLICE
         if part.tokens < WHOLE:
@@ -525,7 +401,7 @@
             part.number, part.copied = -1, -math.inf
             part.tokens = min(part.tokens, UNKNOWN_TOKENS / self._limiters())
 
-    def _keep_copy(self, now: float, tenant: str, owned: _Owned) -> None:
+    def _keep_copy(self, now: float, tenant: str, owned: OwnedBucket) -> None:
         self._check(now, owned)
         bucket = owned.bucket
         part = self._slice(now, Allowance(tenant, bucket.rate, bucket.burst))
@@ -540,14 +416,18 @@
         if sender in self._peers:
             self._peers[sender].breaker = CircuitBreaker()  # any word drops it
         if kind == "hello":
-            ring = _whole(message, "ring")
+            ring = read_whole(message, "ring")
             return (
                 None
                 if self._me is None or not ring
                 else {"k": "hi", "n": self._me, "ring": self._ring_digest()}
             )
-        number, tenant = _whole(message, "n"), _text(message, "t")
-        life, spent, heard = _whole(message, "life"), _whole(message, "spent"), _whole(message, "heard")
+        number, tenant = read_whole(message, "n"), read_text(message, "t")
+        life, spent, heard = (
+            read_whole(message, "life"),
+            read_whole(message, "spent"),
+            read_whole(message, "heard"),
+        )
         if kind == "back":
             known = self._owned.get(tenant)
             if known is not None and sender in known.askers:
@@ -557,10 +437,10 @@
             return {"k": "backed", "n": number, "t": tenant}
         if kind != "ask":
             raise UnreadableError("no ask")
-        allowance = Allowance(tenant, _figure(message, "r"), _figure(message, "b"))
-        version = _whole(message, "v")
-        left = _figure(message, "left") if "left" in message else None
-        of = _whole(message, "of", -1) if "of" in message else -1
+        allowance = Allowance(tenant, read_number(message, "r"), read_number(message, "b"))
+        version = read_whole(message, "v")
+        left = read_number(message, "left") if "left" in message else None
+        of = read_whole(message, "of", -1) if "of" in message else -1
         mine = self._table.get(tenant)
         if mine is not None and self._version >= version:
             allowance, version = mine, self._version
@@ -592,7 +472,7 @@
             "spent": spent,
         }
 
-    def _own(self, now: float, allowance: Allowance, version: int, left: float | None) -> _Owned:
+    def _own(self, now: float, allowance: Allowance, version: int, left: float | None) -> OwnedBucket:
         """The bucket of a tenant; a new one starts with no more than is known to be left (``left``)."""
         owned = self._owned.get(allowance.tenant)
         if owned is None:
@@ -606,7 +486,7 @@
                 del self._owned[next(iter(self._owned))]
                 self._moved_at = now  # it could come back, and not full
             bucket = TokenBucket(allowance.rate, allowance.burst, tokens, now, born=now, version=version)
-            owned = self._owned[allowance.tenant] = _Owned(bucket, now, moved)
+            owned = self._owned[allowance.tenant] = OwnedBucket(bucket, now, moved)
         elif version >= owned.bucket.version:
             self._figures(now, owned, allowance, version)
         if owned.lost and self._owner(allowance.tenant) == self._me:
@@ -625,14 +505,14 @@
         mine.number, mine.copied = -1, -math.inf
         return mine.tokens * self._limiters()
 
-    def _figures(self, now: float, owned: _Owned, allowance: Allowance, version: int) -> None:
+    def _figures(self, now: float, owned: OwnedBucket, allowance: Allowance, version: int) -> None:
         bucket = owned.bucket
         if (bucket.rate, bucket.burst) != (allowance.rate, allowance.burst):
             self._check(now, owned)
             bucket.change(now, allowance.rate, allowance.burst)
         bucket.version = version
 
-    def _take(self, now: float, owned: _Owned, by: str) -> Verdict:
+    def _take(self, now: float, owned: OwnedBucket, by: str) -> Verdict:
         self._check(now, owned)
         bucket = owned.bucket
         if bucket.tokens < WHOLE:
@@ -640,7 +520,7 @@
         bucket.tokens -= 1.0
         return Verdict(True, 0.0, by)
 
-    def _check(self, now: float, owned: _Owned, *, again: bool = False) -> None:
+    def _check(self, now: float, owned: OwnedBucket, *, again: bool = False) -> None:
         """Fill the bucket by its part, and set aside the slices of askers that have gone silent."""
         bucket = owned.bucket
         bucket.fill(now)
@@ -649,7 +529,7 @@
             self._set_aside(now, owned)
         bucket.tokens = min(bucket.tokens, max(1.0, bucket.burst * bucket.part))
 
-    def _set_aside(self, now: float, owned: _Owned) -> None:
+    def _set_aside(self, now: float, owned: OwnedBucket) -> None:
         bucket, count = owned.bucket, self._limiters()
         apart, check_at = set(self._gone), math.inf
         for number, asker in list(owned.askers.items()):
@@ -681,7 +561,7 @@
     def _returned(
         self,
         now: float,
-        owned: _Owned,
+        owned: OwnedBucket,
         sender: int,
         life: int,
         spent: int,
@@ -696,7 +576,7 @@
         if asker is None:
             if len(owned.askers) < ASKERS and sender in self._live and sender != self._me:
                 even = 1000.0 * count / bucket.rate if bucket.rate > 0 else FIRST_GAP_MS
-                owned.askers[sender] = _Asker(now, life, spent, min(FIRST_GAP_MS, even))
+                owned.askers[sender] = Asker(now, life, spent, min(FIRST_GAP_MS, even))
                 owned.check_at = min(owned.check_at, now + SILENCE_MIN_MS)
                 if owned.moved:
                     self._check(now, owned, again=True)
@@ -728,24 +608,3 @@
     if only is None:
         return table.items()
     return [(only, table[only])] if only in table else []
-
-
-def _figure(message: dict[str, Any], key: str, least: float = 0.0) -> float:
-    value = message.get(key)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value <= BIG:
-        raise UnreadableError(key)
-    return float(value)
-
-
-def _whole(message: dict[str, Any], key: str, least: int = 0) -> int:
-    value = message.get(key)
-    if isinstance(value, bool) or not isinstance(value, int) or not least <= value < 1 << 63:
-        raise UnreadableError(key)
-    return value
-
-
-def _text(message: dict[str, Any], key: str) -> str:
-    value = message.get(key)
-    if not isinstance(value, str) or not 0 < len(value) <= 512:
-        raise UnreadableError(key)
-    return value
--- a/larklb/gateway/front.py
+++ b/larklb/gateway/front.py
@@ -15,7 +15,7 @@
 
 from larklb.admission.budget import Budget
 from larklb.admission.choice import Choice, Place
-from larklb.admission.quotas import Verdict
+from larklb.admission.quota_records import Verdict
 from larklb.admission.tries import Course, End, Next
 from larklb.assignment.assignment import caller_key
 from larklb.gateway.servers import LEAST_MS, Message, Reply, Servers, passed_on
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -20,7 +20,8 @@
 
 from larklb.admission.budget import Budget
 from larklb.admission.choice import Place
-from larklb.admission.quotas import Allowance, Bound, Quotas
+from larklb.admission.quota_records import Allowance, Bound
+from larklb.admission.quotas import Quotas
 from larklb.balancing.choice import AbleChoice
 from larklb.balancing.estimates import Estimates
 from larklb.balancing.load import Hands
--- a/larklb/gateway/quota_exchange.py
+++ b/larklb/gateway/quota_exchange.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from larklb.admission.quotas import Allowance, Ask, Quotas, Verdict
+from larklb.admission.quota_records import Allowance, Ask, Verdict
+from larklb.admission.quotas import Quotas
 from larklb.gateway.messages import Message, QuotaMessage
 from larklb.schema.configuration import Tenant
 from larklb.wheel import Timer, Wheel
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -16,7 +16,8 @@
 
 from larklb.admission import quotas as q
 from larklb.admission.budget import Budget
-from larklb.admission.quotas import Allowance, Ask, Quotas, Verdict
+from larklb.admission.quota_records import Allowance, Ask, Verdict
+from larklb.admission.quotas import Quotas
 from larklb.quota.breaker import CircuitBreaker
 from larklb.quota.ring import digest, ring_owner
 
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -15,7 +15,7 @@
 
 from larklb.admission.budget import Budget
 from larklb.admission.choice import Choice, Place
-from larklb.admission.quotas import Verdict
+from larklb.admission.quota_records import Verdict
 from larklb.gateway import servers as servers_module
 from larklb.gateway.front import Front, in_force
 from larklb.gateway.listener import Bounds, Listener
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -21,7 +21,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 from typer.testing import CliRunner
 
-from larklb.admission.quotas import Allowance
+from larklb.admission.quota_records import Allowance
 from larklb.cli import app, system, system_calls
 from larklb.cli.system_calls import Caller, SilentError
 from larklb.consensus.interface import Call
