Standard names: pending acknowledgement, in flight, capacity report; messages are called so

Cause: LAYOUT's table of words was not carried through: pledges and hands stood in the registry's replica and in balancing, and docstrings of the gateway, registry and consensus packages spoke of words.

--- a/benchmarks/ability.py
+++ b/benchmarks/ability.py
@@ -37,17 +37,17 @@
 class Alone(AbleChoice):
     """Hears nothing."""
 
-    def hear(self, now: float, observer: str, words: Mapping[str, Any]) -> None:
+    def take(self, now: float, observer: str, message: Mapping[str, Any]) -> None:
         return
 
-    def hear_hands(self, now: float, observer: str, words: Mapping[str, Any]) -> None:
+    def take_in_flight(self, now: float, observer: str, message: Mapping[str, Any]) -> None:
         return
 
 
 class Sums(AbleChoice):
     """Hears estimates only."""
 
-    def hear_hands(self, now: float, observer: str, words: Mapping[str, Any]) -> None:
+    def take_in_flight(self, now: float, observer: str, message: Mapping[str, Any]) -> None:
         return
 
 
--- a/larklb/balancing/choice.py
+++ b/larklb/balancing/choice.py
@@ -15,7 +15,7 @@
 from larklb.admission import choice as admission
 from larklb.admission.choice import Choice, Place
 from larklb.balancing.estimates import Ability, Estimates, Sums
-from larklb.balancing.load import TRUST_LEAST, Hands, Others, bearable, waiting
+from larklb.balancing.load import TRUST_LEAST, InFlight, Others, bearable, waiting
 from larklb.quota.ring import digest
 
 FRESH_MS = 250.0  # an ability is judged anew after so long, or after news
@@ -96,7 +96,7 @@
     exchange: bool = True  # near peers tell what they have in hand
     names: tuple[tuple[str, str], ...] = ()
     estimates: Estimates = field(factory=Estimates)
-    hands: Hands = field(factory=Hands)
+    in_flight: InFlight = field(factory=InFlight)
     crowds: dict[str, float] = field(factory=dict)  # by target: others' requests for each slot
     norms: dict[str, Norm] = field(factory=dict)
     seen: dict[str, Seen] = field(factory=dict)
@@ -111,7 +111,7 @@
     def peers(self, me: str, names: Sequence[tuple[str, str]]) -> None:
         """All limiters, each with its zone; this one is ``me``."""
         self.me, self.names = me, tuple(sorted(names))
-        self.hands.keep({name for name, _ in names})
+        self.in_flight.keep({name for name, _ in names})
         self._divide()
 
     def update(self, servers: Iterable[Place]) -> None:
@@ -166,8 +166,8 @@
         seen.judged = now
         seen.ability = self.estimates.ability(now, place.id)
         seen.factor = math.exp(seen.ability.slowness - DOUBT * seen.ability.error)
-        self.hands.expire(now)
-        seen.shared = self.estimates.others(now, place.id, self.hands.live(now))
+        self.in_flight.expire(now)
+        seen.shared = self.estimates.others(now, place.id, self.in_flight.live(now))
         seen.late = self.estimates.overdue(now, place.id)
         self._pending(now, seen)
         seen.mean = self._mean(now, place, seen)
@@ -187,7 +187,7 @@
     def _mean(self, now: float, place: Place, seen: Seen) -> float:
         """Requests of others whose word on what is in hand doesn't hold just now."""
         crowd, told = self.crowds.get(place.target, 0.0) * place.slots, seen.others
-        if seen.shared is not None and (self.hands.sums or not told.trusted()):
+        if seen.shared is not None and (self.in_flight.sums or not told.trusted()):
             mean = seen.shared
         elif told.trusted():
             # Means lag by seconds: without peers' words on what is in hand the server's own is better.
@@ -202,7 +202,7 @@
     def crowd(self, now: float, place: Place, seen: Seen, work: float) -> tuple[int, float]:
         """Requests of others at a server: those that near peers tell, and the rest's mean, which is nearer
         to what the server itself told for as long as that lasts."""
-        told, known, mean = seen.others, self.hands.sums.get(place.id, 0), seen.mean
+        told, known, mean = seen.others, self.in_flight.sums.get(place.id, 0), seen.mean
         age = now - told.at
         if age < 4.0 * work and told.trust >= TRUST_LEAST:
             mean += (told.last - known - mean) * math.exp(-max(0.0, age) / work)
@@ -424,24 +424,24 @@
 
     # Exchange -------------------------------------------------------------------------------
 
-    def words(self, now: float) -> dict[str, Any]:
+    def message(self, now: float) -> dict[str, Any]:
         """What this limiter tells the others, JSON."""
         self._settle()
         for name, seen in self.seen.items():
             self._hand(now, self.of[name], seen)
             seen.sums.overdue = int(now > seen.due)
-        return self.estimates.words(now)
+        return self.estimates.message(now)
 
-    def hear(self, now: float, observer: str, words: Mapping[str, Any]) -> None:
+    def take(self, now: float, observer: str, message: Mapping[str, Any]) -> None:
         """Takes what another limiter tells."""
         if observer != self.me:
-            self.estimates.hear(now, observer, words)
+            self.estimates.take(now, observer, message)
 
-    def hand_words(self, now: float) -> dict[str, Any] | None:
+    def in_flight_message(self, now: float) -> dict[str, Any] | None:
         """What this limiter has in hand, for its near peers, JSON; None where that is no news."""
-        return self.hands.words(now, {n: place.out - self.seen[n].lost for n, place in self.of.items()})
+        return self.in_flight.message(now, {n: place.out - self.seen[n].lost for n, place in self.of.items()})
 
-    def hear_hands(self, now: float, observer: str, words: Mapping[str, Any]) -> None:
+    def take_in_flight(self, now: float, observer: str, message: Mapping[str, Any]) -> None:
         """Takes what a near peer has in hand."""
         if observer != self.me:
-            self.hands.hear(now, observer, words)
+            self.in_flight.take(now, observer, message)
--- a/larklb/balancing/estimates.py
+++ b/larklb/balancing/estimates.py
@@ -113,7 +113,7 @@
     rows: dict[str, Sums]
 
 
-Words = dict[str, Any]
+Report = dict[str, Any]
 
 
 @define
@@ -194,7 +194,7 @@
         """Other observers that wait there for longer than nearly ever."""
         return sum(row.overdue > 0 for row in self._heard(now, server))
 
-    def words(self, now: float) -> Words:
+    def message(self, now: float) -> Report:
         """This observer's sums, for the others: the whole state, so the newest is enough."""
         self.told += 1
         rows = {
@@ -203,13 +203,13 @@
         }
         return {"life": self.life, "count": self.told, "rows": rows}
 
-    def hear(self, now: float, observer: str, words: Mapping[str, Any]) -> bool:
+    def take(self, now: float, observer: str, message: Mapping[str, Any]) -> bool:
         """Takes another observer's words; False where they are no news.  The age of evidence is counted
         from here: the other's clock is never compared with this one.  ``UnreadableError`` where they make
         no sense."""
         try:
-            life, count = int(words["life"]), int(words["count"])
-            rows = {str(server): _read(now, row) for server, row in words["rows"].items()}
+            life, count = int(message["life"]), int(message["count"])
+            rows = {str(server): _read(now, row) for server, row in message["rows"].items()}
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise UnreadableError(str(error)) from error
         if len(rows) > SERVERS:
--- a/larklb/balancing/load.py
+++ b/larklb/balancing/load.py
@@ -76,38 +76,38 @@
 
 
 @define
-class _Word:
+class _Report:
     order: int
     at: float
     rows: dict[str, int]
 
 
 @define
-class Hands:
+class InFlight:
     """What near peers have in hand at each server just now: their whole state by observer, the newest
     holds."""
 
     life: int = 0
-    of: dict[str, _Word] = field(factory=dict)
+    of: dict[str, _Report] = field(factory=dict)
     sums: dict[str, int] = field(factory=dict)
     count: int = 0
     told: dict[str, int] = field(factory=dict)
     told_at: float = -math.inf
 
-    def words(self, now: float, mine: Mapping[str, int]) -> dict[str, Any] | None:
+    def message(self, now: float, mine: Mapping[str, int]) -> dict[str, Any] | None:
         """This limiter's word, JSON; None where it would bring nothing new."""
         rows = {server: out for server, out in mine.items() if out > 0}
         if rows == self.told and now - self.told_at < AGAIN_MS:
             return None
         self.told, self.told_at = rows, now
         self.count += 1
-        return {"life": self.life, "count": self.count, "hands": rows}
+        return {"life": self.life, "count": self.count, "in_flight": rows}
 
-    def hear(self, now: float, observer: str, words: Mapping[str, Any]) -> bool:
+    def take(self, now: float, observer: str, message: Mapping[str, Any]) -> bool:
         """Takes a peer's word; False where it is no news; ``UnreadableError`` where it makes no sense."""
         try:
-            order = int(words["life"]) * (1 << 32) + int(words["count"])
-            rows = {str(server): int(out) for server, out in words["hands"].items()}
+            order = int(message["life"]) * (1 << 32) + int(message["count"])
+            rows = {str(server): int(out) for server, out in message["in_flight"].items()}
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise UnreadableError(str(error)) from error
         if len(rows) > SERVERS or any(not 0 <= out < 1 << 16 for out in rows.values()):
@@ -118,16 +118,16 @@
         if known is None and len(self.of) >= PEERS:
             return False  # those beyond count with their mean
         self._add(known.rows if known is not None else {}, -1)
-        self.of[observer] = _Word(order, now, rows)
+        self.of[observer] = _Report(order, now, rows)
         self._add(rows, 1)
         return True
 
     def expire(self, now: float) -> None:
         """What is too old counts no more, but its order is kept: an older word that comes late is no news."""
-        for word in self.of.values():
-            if now - word.at > LIVE_MS and word.rows:
-                self._add(word.rows, -1)
-                word.rows = {}
+        for report in self.of.values():
+            if now - report.at > LIVE_MS and report.rows:
+                self._add(report.rows, -1)
+                report.rows = {}
 
     def keep(self, observers: Collection[str]) -> None:
         """Forgets all but these."""
@@ -136,7 +136,7 @@
 
     def live(self, now: float) -> frozenset[str]:
         """Whose word holds."""
-        return frozenset(o for o, word in self.of.items() if now - word.at <= LIVE_MS)
+        return frozenset(o for o, report in self.of.items() if now - report.at <= LIVE_MS)
 
     def _add(self, rows: Mapping[str, int], sign: int) -> None:
         for server, out in rows.items():
--- a/larklb/consensus/group.py
+++ b/larklb/consensus/group.py
@@ -8,8 +8,8 @@
 from attrs import define, field
 
 HEARD_MS = 300.0  # of being told of, in one stretch, before a core machine counts as there
-SILENT_MS = 2500.0  # without a word after which another may take a voter's place
-TOLD_MS = 1500.0  # for so long after its last word a machine is told of at the most
+SILENT_MS = 2500.0  # without a message after which another may take a voter's place
+TOLD_MS = 1500.0  # for so long after its last message a machine is told of at the most
 MOST_TRACKED = 64  # disks in memory; a disk that comes and goes can't fill it
 MOST_VOTERS = 32  # in any list that a message brings; far above any group that can be founded
 
--- a/larklb/consensus/log.py
+++ b/larklb/consensus/log.py
@@ -93,14 +93,14 @@
     voters: dict[str, str] = field(factory=dict)
     encoded: bytes = b""
 
-    def word(self) -> dict[str, Any]:
+    def to_message(self) -> dict[str, Any]:
         """As it goes into a message."""
-        word: dict[str, Any] = {"index": self.index, "term": self.term, "kind": self.kind}
+        values: dict[str, Any] = {"index": self.index, "term": self.term, "kind": self.kind}
         if self.kind == "document":
-            word |= {"identity": self.identity, "document": self.document}
+            values |= {"identity": self.identity, "document": self.document}
         elif self.kind == "voters":
-            word["voters"] = self.voters
-        return word
+            values["voters"] = self.voters
+        return values
 
     def stored(self) -> bytes:
         """Its durable form."""
@@ -153,7 +153,7 @@
             "history": self.history.stored(),
         }
 
-    def word(self) -> dict[str, Any]:
+    def to_message(self) -> dict[str, Any]:
         """As it goes into a message."""
         return self._head() | {"document": self.document}
 
--- a/larklb/consensus/membership_change.py
+++ b/larklb/consensus/membership_change.py
@@ -9,7 +9,7 @@
 
 log = logging.getLogger(__name__)
 
-LEARNER_MS = 1000.0  # since a newcomer's last word in which it counts as keeping up
+LEARNER_MS = 1000.0  # since a newcomer's last message in which it counts as keeping up
 
 
 class MembershipChange(ReplicaState):
--- a/larklb/consensus/replication.py
+++ b/larklb/consensus/replication.py
@@ -21,7 +21,7 @@
 
 
 class Replication(ReplicaState):
-    """A leader's word to the others, and what they make of it."""
+    """A leader's messages to the others, and what they make of it."""
 
     def _heed(self, sender: str, message: AppendEntries | InstallSnapshot) -> bool:
         """Whether this is a message of the present leader; its term and group are taken up."""
@@ -154,7 +154,7 @@
         if peer.next <= mine.base.index:
             peer.behind, peer.next = -1, mine.base.index + 1
             peer.due = self._now + RESEND_MS + len(mine.base.encoded) / RESEND_BYTES
-            self._send(disk, InstallSnapshot, snapshot=mine.base.word(), round=self._round)
+            self._send(disk, InstallSnapshot, snapshot=mine.base.to_message(), round=self._round)
             return
         prev, entries = peer.next - 1, mine.after(peer.next - 1, MOST_ENTRIES)
         if entries:
@@ -166,7 +166,7 @@
             prev=(prev, mine.term_at(prev)),
             commit=mine.commit,
             round=self._round,
-            entries=[entry.word() for entry in entries],
+            entries=[entry.to_message() for entry in entries],
             seen=peer.stamp,
         )
 
--- a/larklb/consensus/state.py
+++ b/larklb/consensus/state.py
@@ -30,8 +30,8 @@
 @define
 class Peer:
     """How far the leader knows another's log. ``next``: the entry to send next; ``match``: saved up to there;
-    ``round``: the newest it has answered; ``heard``: ms, its last word; ``behind``: the index that the last
-    content sent follows (-1: a snapshot, which follows any); ``due``: ms from which on that counts as
+    ``round``: the newest it has answered; ``heard``: ms, its last message; ``behind``: the index that the
+    last content sent follows (-1: a snapshot, which follows any); ``due``: ms from which on that counts as
     lost; ``stamp``: of its newest reply."""
 
     next: int
--- a/larklb/gateway/core.py
+++ b/larklb/gateway/core.py
@@ -1,7 +1,7 @@
 """A core machine's part of the control plane: the registry's replica and the configuration's, under one
 clock.
 
-Without I/O: words leave by ``post``, saves by ``save``, whose end is told by ``saved``.
+Without I/O: messages leave by ``post``, saves by ``save``, whose end is told by ``saved``.
 """
 
 from __future__ import annotations
@@ -191,5 +191,5 @@
     def flush(self) -> None:
         """Sends what the registry's replica has to say."""
         out, self.home.out = self.home.out, []
-        for ip, word in out:
-            self.post(ip, word)
+        for ip, message in out:
+            self.post(ip, message)
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -24,7 +24,7 @@
 from larklb.admission.quotas import Quotas
 from larklb.balancing.choice import AbleChoice
 from larklb.balancing.estimates import Estimates
-from larklb.balancing.load import Hands
+from larklb.balancing.load import InFlight
 from larklb.consensus.errors import ConsensusError
 from larklb.gateway import settings as told
 from larklb.gateway import status
@@ -35,8 +35,8 @@
 from larklb.gateway.errors import GatewayError, SettingsError
 from larklb.gateway.front import Front, in_force
 from larklb.gateway.listener import Bounds, Listener
-from larklb.gateway.messages import AnyMessage, CallResult, EstimatesMessage, HandsMessage, QuotaMessage
-from larklb.gateway.near_exchange import HANDS_MS, NearExchange
+from larklb.gateway.messages import AnyMessage, CallResult, CapacityReport, InFlightMessage, QuotaMessage
+from larklb.gateway.near_exchange import IN_FLIGHT_MS, NearExchange
 from larklb.gateway.quota_exchange import QuotaExchange
 from larklb.gateway.servers import Reply, Servers
 from larklb.gateway.transport import Transport
@@ -112,7 +112,7 @@
             self.random.randrange(1 << 30),
             limit=self._limit,
             estimates=Estimates(life=me.life),
-            hands=Hands(life=me.life),
+            in_flight=InFlight(life=me.life),
         )
         first = settings.bootstrap
         bounds = settings.bounds
@@ -171,7 +171,7 @@
         return self.quota_exchange.quotas
 
     async def run(self) -> None:
-        """From the first word to an orderly end."""
+        """From the first message to an orderly end."""
         s, loop = self.settings, asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
         loop.add_signal_handler(signal.SIGINT, self.leaving.set)
@@ -187,7 +187,7 @@
         await self._leave()
 
     def _near(self) -> None:
-        self.wheel.after(HANDS_MS, self._near)
+        self.wheel.after(IN_FLIGHT_MS, self._near)
         if self.front.now is not None:
             self.near.tick(self.wheel.now())
 
@@ -234,7 +234,7 @@
             case QuotaMessage():
                 sender = self.follower.members.get(message.sender)
                 self.quota_exchange.heard(now, message, sender.number if sender is not None else -1)
-            case HandsMessage() | EstimatesMessage():
+            case InFlightMessage() | CapacityReport():
                 self.near.heard(now, message)
             case _:
                 self.plane.heard(now, message)
--- a/larklb/gateway/messages.py
+++ b/larklb/gateway/messages.py
@@ -98,13 +98,13 @@
     message: dict[str, Any] = msgspec.field(name="m")
 
 
-class HandsMessage(Message, frozen=True, kw_only=True, tag="hands"):
+class InFlightMessage(Message, frozen=True, kw_only=True, tag="in_flight"):
     """Requests in hand at servers: see ``balancing.load``."""
 
     message: dict[str, Any] = msgspec.field(name="m")
 
 
-class EstimatesMessage(Message, frozen=True, kw_only=True, tag="able"):
+class CapacityReport(Message, frozen=True, kw_only=True, tag="capacity"):
     """What was found of servers: see ``balancing.estimates``."""
 
     message: dict[str, Any] = msgspec.field(name="m")
@@ -121,7 +121,7 @@
     | OperatorCall
     | CallAnswer
 )
-AnyMessage = ControlMessage | QuotaMessage | HandsMessage | EstimatesMessage
+AnyMessage = ControlMessage | QuotaMessage | InFlightMessage | CapacityReport
 
 
 class _Header(msgspec.Struct, frozen=True):
--- a/larklb/gateway/near_exchange.py
+++ b/larklb/gateway/near_exchange.py
@@ -1,6 +1,6 @@
 """What limiters of one zone tell each other of servers: requests in hand, and what each server is seen to do.
 
-Where they are many the words would cost more than they bring, and each goes by what it sees."""
+Where they are many the messages would cost more than they bring, and each goes by what it sees."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 
 from larklb.balancing.choice import AbleChoice
 from larklb.balancing.errors import UnreadableError
-from larklb.gateway.messages import EstimatesMessage, HandsMessage, Message
+from larklb.gateway.messages import CapacityReport, InFlightMessage, Message
 
-HANDS_MS = 25.0  # between two words on what is in hand
+IN_FLIGHT_MS = 25.0  # between two messages on what is in hand
 ESTIMATES_MS = 500.0  # between two on what was found of servers
-MOST_NEAR = 8  # limiters that are told: each is sent some tens of words a second
+MOST_NEAR = 8  # limiters that are told: each is sent some tens of messages a second
 
 
 class NearExchange:
@@ -29,22 +29,22 @@
         self.choice.exchange = bool(self.addresses)
 
     def tick(self, now: float) -> None:
-        """Called every ``HANDS_MS`` while requests are served."""
+        """Called every ``IN_FLIGHT_MS`` while requests are served."""
         if not self.addresses:
             return
-        if (hands := self.choice.hand_words(now)) is not None:
-            self._tell(HandsMessage(message=hands))
+        if (in_flight := self.choice.in_flight_message(now)) is not None:
+            self._tell(InFlightMessage(message=in_flight))
         if now - self.estimates_at >= ESTIMATES_MS:
             self.estimates_at = now
-            self._tell(EstimatesMessage(message=self.choice.words(now)))
+            self._tell(CapacityReport(message=self.choice.message(now)))
 
     def _tell(self, message: Message) -> None:
         for address in self.addresses:
             self.post(address, message)
 
-    def heard(self, now: float, message: HandsMessage | EstimatesMessage) -> None:
+    def heard(self, now: float, message: InFlightMessage | CapacityReport) -> None:
         """ValueError where it makes no sense."""
-        hear = self.choice.hear_hands if isinstance(message, HandsMessage) else self.choice.hear
+        hear = self.choice.take_in_flight if isinstance(message, InFlightMessage) else self.choice.take
         try:
             hear(now, message.sender, message.message)
         except UnreadableError as error:
--- a/larklb/gateway/quota_exchange.py
+++ b/larklb/gateway/quota_exchange.py
@@ -13,7 +13,7 @@
 from larklb.schema.configuration import Tenant
 from larklb.wheel import Timer, Wheel
 
-NOTES_MS = 300.0  # between words that give back what isn't used, and those of new owners
+NOTES_MS = 300.0  # between messages that give back what isn't used, and those of new owners
 QUESTIONS = frozenset(("ask", "back", "hello"))  # kinds that an owner is told; all others are answers
 
 
--- a/larklb/gateway/transport.py
+++ b/larklb/gateway/transport.py
@@ -1,6 +1,6 @@
-"""Words between limiters: one way, as JSON lines, and they may be lost.
+"""Messages between limiters: one way, as JSON lines, and they may be lost.
 
-A short word is one datagram; a longer one goes over a connection, which is dropped when it stalls.
+A short message is one datagram; a longer one goes over a connection, which is dropped when it stalls.
 """
 
 from __future__ import annotations
@@ -19,10 +19,10 @@
 
 SHORT = 1_300  # bytes of a datagram at the most: more would be cut in pieces on the way
 MOST_LINE = 24 * 1024 * 1024
-MOST_WAITING = 4  # long words to one limiter that wait for its connection; older ones are dropped
+MOST_WAITING = 4  # long messages to one limiter that wait for its connection; older ones are dropped
 DIAL_S = 0.6
-STALL_S = 2.5  # for one long word to be taken
-IDLE_S = 8.0  # without a long word, until its connection ends
+STALL_S = 2.5  # for one long message to be taken
+IDLE_S = 8.0  # without a long message, until its connection ends
 MOST_LINKS = 128  # connections that are taken in
 
 Heard = Callable[[AnyMessage], object]
@@ -40,7 +40,7 @@
 
 
 class Transport:
-    """All words of one limiter, to the others and from them."""
+    """All messages of one limiter, to the others and from them."""
 
     def __init__(self, node: str, ip: str, port: int, heard: Heard) -> None:
         self.node, self.ip, self.port, self.heard = node, ip, port, heard
@@ -77,7 +77,7 @@
                 self.transport.sendto(line, (ip, self.port))
             return
         if len(line) > MOST_LINE:
-            log.error("transport: a word of %d bytes is too long.", len(line))
+            log.error("transport: a message of %d bytes is too long.", len(line))
             return
         lines = self.waiting.setdefault(ip, [])
         lines.append(line)
@@ -88,7 +88,7 @@
             self.tasks[ip] = asyncio.get_running_loop().create_task(self._carry(ip))
 
     async def _carry(self, ip: str) -> None:
-        """One connection, as long as there are long words for it."""
+        """One connection, as long as there are long messages for it."""
         writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(DIAL_S):
--- a/larklb/lab/control_day_faults.py
+++ b/larklb/lab/control_day_faults.py
@@ -61,7 +61,7 @@
     },
 }
 
-PROMPT_MS = 300.0  # in which a machine that is cut off answers that it is: words on the way, a turn, spare
+PROMPT_MS = 300.0  # in which a machine that is cut off answers that it is: messages on the way, a turn, spare
 CATCH_UP_MS = 6_000.0  # away for so long, a machine lacks more changes than are kept as entries
 
 
@@ -364,14 +364,14 @@
         self.servers.drain()
 
     def _loss(self) -> None:
-        """Words between all machines are lost, come twice and late."""
+        """Messages between all machines are lost, come twice and late."""
         world = self.world
-        world.note("words are lost and repeated")
+        world.note("messages are lost and repeated")
         world.loss, world.repeats, world.core_troubled = 0.1, 0.1, world.now
         world.at(3_000.0, self._no_loss)
 
     def _no_loss(self) -> None:
-        self.world.note("words come as usual")
+        self.world.note("messages come as usual")
         self.world.loss = self.world.repeats = 0.0
         self.world.core_troubled = self.world.now
 
--- a/larklb/lab/control_world.py
+++ b/larklb/lab/control_world.py
@@ -1,7 +1,7 @@
 """A core and some limiters in simulated time: the real control plane on a simulated network and simulated
 disks.
 
-Everything that happens follows from the seed. Words are encoded and decoded as between processes; they are
+Everything that happens follows from the seed. Messages are encoded and decoded as between processes; they are
 lost, come twice and overtake each other. A machine that stands still finds them when it goes on, before its
 own timers. A save takes time, may fail or hang, and of one under way when power is lost each value is there
 or not, by itself. The files below these values have a simulation of their own (``tests/test_storage.py``).
@@ -29,10 +29,10 @@
 
 CORE_TICK_MS, TICK_MS = 50.0, 100.0
 WIRE_MS = (0.2, 2.0)  # one way
-LATE_MS = (20.0, 1500.0)  # of a word that is overtaken
+LATE_MS = (20.0, 1500.0)  # of a message that is overtaken
 SYNC_MS = ((2.0, 8.0), (2.0, 8.0), (15.0, 40.0))  # of a save on a disk that is well
 SLOW_SYNC_MS = (80.0, 250.0)
-MOST_BUFFERED = 2_000  # words that wait at a machine that stands still
+MOST_BUFFERED = 2_000  # messages that wait at a machine that stands still
 ZONES = ("north", "south", "east")
 CONTROL_PORT = 8407
 #: Terms of a day, in ms: the usual ones, shorter and longer ones.
@@ -313,7 +313,7 @@
 
     def call(self, machine: Machine, act: Callable[[ControlPlane], object]) -> None:
         """A caller's connection brings a call; one that stands still finds it when it goes on, before or
-        after the words of other machines."""
+        after the messages of other machines."""
         if machine.plane is None:
             return
         if not machine.frozen:
@@ -330,7 +330,7 @@
         return machine.up and not machine.leaving and machine.disk_mode == "well" and reached
 
     def is_cut_off(self, machine: Machine) -> bool:
-        """Whether no word passes between it and any other core machine."""
+        """Whether no message passes between it and any other core machine."""
         others = [other.node for other in self.cores() if other is not machine]
         return all({(machine.node, other), (other, machine.node)} <= self.cut for other in others)
 
@@ -382,7 +382,7 @@
         del self.machines[machine.node]
 
     def freeze(self, machine: Machine) -> None:
-        """Stands still; its words wait."""
+        """Stands still; its messages wait."""
         if self.healed:
             return
         self.note(f"{machine.node} stands still")
@@ -390,7 +390,7 @@
         machine.frozen = True
 
     def thaw(self, machine: Machine) -> None:
-        """Goes on: first with the words that have come, then with its timers."""
+        """Goes on: first with the messages that have come, then with its timers."""
         if not machine.frozen:
             return
         self.note(f"{machine.node} goes on")
@@ -400,7 +400,7 @@
             machine.buffered.popleft()()
 
     def cut_off(self, machine: Machine, others: list[Machine], one_way: bool) -> None:
-        """Words between these are lost, or only its own (``one_way``)."""
+        """Messages between these are lost, or only its own (``one_way``)."""
         if self.healed:
             return
         self.note(f"{machine.node} is cut off from {', '.join(o.node for o in others)}{' one way' * one_way}")
--- a/larklb/lab/emulator.py
+++ b/larklb/lab/emulator.py
@@ -29,11 +29,11 @@
 TOLD_MS = 150.0            # from any other news of a server until limiters have it, at the most
 DRAIN_MS = 2_500.0         # a leaving server serves on for so long
 GAP_MS = 500.0             # from a server's end to its successor's start
-SHARE_MS = 500.0           # between two words of a limiter to its peers, by way of the home ...
+SHARE_MS = 500.0           # between two messages of a limiter to its peers, by way of the home ...
 SHARE_WAY_MS = 25.0        # ... which takes so long
 SHARE_LOSS = 0.02          # of them
-HANDS_MS = 25.0            # between two words on what is in hand, to the peers of a limiter's zone ...
-HANDS_WAY_MS = 3.0         # ... with the time until they are read
+IN_FLIGHT_MS = 25.0            # between two messages on what is in hand, to the peers of a limiter's zone ...
+IN_FLIGHT_WAY_MS = 3.0         # ... with the time until they are read
 RETRY_RATIO, RETRY_WINDOW_MS, RETRY_SLACK = 0.2, 10_000.0, 64.0
 
 
@@ -130,17 +130,17 @@
 
 @runtime_checkable
 class Shares(Protocol):
-    """A choice that exchanges what it has learned: ``words`` are JSON."""
+    """A choice that exchanges what it has learned: a ``message`` is JSON."""
 
     def peers(self, me: str, names: Sequence[tuple[str, str]]) -> None: ...
 
-    def words(self, now: float) -> dict[str, Any]: ...
+    def message(self, now: float) -> dict[str, Any]: ...
 
-    def hear(self, now: float, observer: str, words: Mapping[str, Any]) -> None: ...
+    def take(self, now: float, observer: str, message: Mapping[str, Any]) -> None: ...
 
-    def hand_words(self, now: float) -> dict[str, Any] | None: ...
+    def in_flight_message(self, now: float) -> dict[str, Any] | None: ...
 
-    def hear_hands(self, now: float, observer: str, words: Mapping[str, Any]) -> None: ...
+    def take_in_flight(self, now: float, observer: str, message: Mapping[str, Any]) -> None: ...
 
 
 class Server:
@@ -324,7 +324,7 @@
         for i in range(d.limiters):
             if isinstance(self.limiters[i].choice, Shares):
                 self._at(SHARE_MS * (i + 1) / d.limiters, self._share, i)
-                self._at(HANDS_MS * (i + 1) / d.limiters, self._hands, i)
+                self._at(IN_FLIGHT_MS * (i + 1) / d.limiters, self._in_flight, i)
         self._at(d.settling, self._measure)
         events = self.events
         while events:
@@ -352,30 +352,30 @@
         if self.now < self.d.length:
             self._at(self.now + SHARE_MS, self._share, i)
         limiter = self.limiters[i]
-        words = limiter.choice.words(self.now) if isinstance(limiter.choice, Shares) else {}
+        message = limiter.choice.message(self.now) if isinstance(limiter.choice, Shares) else {}
         for other in self.limiters:
             if other is not limiter and self.links.random() > SHARE_LOSS:
                 way = SHARE_WAY_MS * (0.5 + self.links.random())
-                self._at(self.now + way, self._heard, other, limiter.name, words)
+                self._at(self.now + way, self._heard, other, limiter.name, message)
 
-    def _hands(self, i: int) -> None:
+    def _in_flight(self, i: int) -> None:
         if self.now < self.d.length:
-            self._at(self.now + HANDS_MS, self._hands, i)
+            self._at(self.now + IN_FLIGHT_MS, self._in_flight, i)
         limiter = self.limiters[i]
-        words = limiter.choice.hand_words(self.now) if isinstance(limiter.choice, Shares) else None
-        for other in self.limiters if words is not None else ():
+        message = limiter.choice.in_flight_message(self.now) if isinstance(limiter.choice, Shares) else None
+        for other in self.limiters if message is not None else ():
             if other is not limiter and other.zone == limiter.zone:
-                self.figures.count["hand words"] += 1
+                self.figures.count["in flight messages"] += 1
                 if self.links.random() > SHARE_LOSS:
-                    self._at(self.now + HANDS_WAY_MS, self._hands_heard, other, limiter.name, words)
+                    self._at(self.now + IN_FLIGHT_WAY_MS, self._in_flight_heard, other, limiter.name, message)
 
-    def _hands_heard(self, limiter: Limiter, observer: str, words: Mapping[str, Any]) -> None:
+    def _in_flight_heard(self, limiter: Limiter, observer: str, message: Mapping[str, Any]) -> None:
         if isinstance(limiter.choice, Shares):
-            limiter.choice.hear_hands(self.now, observer, words)
+            limiter.choice.take_in_flight(self.now, observer, message)
 
-    def _heard(self, limiter: Limiter, observer: str, words: Mapping[str, Any]) -> None:
+    def _heard(self, limiter: Limiter, observer: str, message: Mapping[str, Any]) -> None:
         if isinstance(limiter.choice, Shares):
-            limiter.choice.hear(self.now, observer, words)
+            limiter.choice.take(self.now, observer, message)
 
     def _trouble(self, trouble: Trouble) -> None:
         mine = [s for s in self.servers.values() if s.service.name == trouble.service and not s.gone]
--- a/larklb/registry/messages.py
+++ b/larklb/registry/messages.py
@@ -62,8 +62,8 @@
 
 
 class RowsHeard(Message, frozen=True, kw_only=True, tag="rows"):
-    """Rows that a core machine has just heard. With ``ask``, the number of a pledge, the receiver answers
-    ``RowsKnown`` once it has them."""
+    """Rows that a core machine has just heard. With ``ask``, the number of a pending acknowledgement, the
+    receiver answers ``RowsKnown`` once it has them."""
 
     members: Rows = msgspec.field(name="m")
     servers: Rows = msgspec.field(name="v")
@@ -72,7 +72,7 @@
 
 
 class RowsKnown(Message, frozen=True, kw_only=True, tag="known"):
-    """The core machine with ``disk`` has the rows of pledge ``ask``."""
+    """The core machine with ``disk`` has the rows that were sent with ``ask``."""
 
     ask: int
     life: int = msgspec.field(name="l")
--- a/larklb/registry/replica.py
+++ b/larklb/registry/replica.py
@@ -33,7 +33,7 @@
 from larklb.registry.registry import Registry, Server, server_of
 
 ALONE_MS = 1_000.0  # without an echo from a majority for so long, this machine counts as cut off
-SYNC_PART = 0.4  # of that time passes between two words to each other core machine
+SYNC_PART = 0.4  # of that time passes between two messages to each other core machine
 AGAIN_MS = 250.0  # what a subscriber has not shown to have is pushed again after so long, ...
 AGAIN_MOST_MS = 1_000.0  # ... after twice as long each time, up to this: its link may be narrow
 LEFT_BEATS = 3.6  # a subscriber that has not beaten for so many beats has another home, or is down
@@ -41,9 +41,9 @@
 ROWS = 300  # of a delta at the most: a large table goes in pieces
 MEET_MS = 250.0  # in which a home that starts hears of another one that knows more ...
 WAIT_MS = 1_000.0  # ... and in which it waits for any other
-SYNC_BATCH = 2_000  # renewals in one word at the most; the rest follows in another
+SYNC_BATCH = 2_000  # renewals in one message at the most; the rest follows in another
 
-PLEDGE_MS = 800.0  # for a majority to know a change: callers wait a second
+ACKNOWLEDGE_MS = 800.0  # for a majority to know a change: callers wait a second
 
 Outgoing = list[tuple[str, Message]]  # by the receiver's address
 
@@ -67,7 +67,7 @@
 
 
 @define
-class Pledge:
+class PendingAcknowledgement:
     """A change that is to be known by a majority of the core before it is acknowledged."""
 
     row: Row
@@ -94,8 +94,8 @@
     ready: bool = False  # its table may be told
     echoed: dict[str, float] = field(factory=dict)  # when sent what each core disk has echoed last
     out: Outgoing = field(factory=list)
-    pledges: dict[int, Pledge] = field(factory=dict)
-    pledged: int = 0
+    pending: dict[int, PendingAcknowledgement] = field(factory=dict)
+    last_ask: int = 0
     synced_at: float = -math.inf
     ready_cores: dict[str, float] = field(factory=dict)  # when a core machine last said it is ready
     met: bool = False  # another core machine has been heard of
@@ -156,7 +156,7 @@
     # Limiters -----------------------------------------------------------------------------
 
     def told_of(self, now: float, member: Member, direct: bool) -> None:
-        """A limiter's record came in its own word."""
+        """A limiter's record came in its own message."""
         if self.members.heard(now, member, direct):
             self._member(member.node)
             row = self.members.of[member.node].member.row()
@@ -231,7 +231,7 @@
         """Whether this machine is cut off from a majority of the voters, in either direction: it can't know
         what is new, tells its subscribers to go elsewhere, and acknowledges nothing.
 
-        An echo counts by the time at which the word that it answers was sent here: what lay in a buffer
+        An echo counts by the time at which the message that it answers was sent here: what lay in a buffer
         while this machine stood still proves nothing."""
         if not self.voters:
             return not self.bootstrap  # a newcomer may have met none but machines that are cut off themselves
@@ -267,7 +267,7 @@
         if changed:
             self._server(told.id)
         if known.server.state == servers.DRAINING and told.state == servers.DRAINING:
-            self._pledge(now, known.server, done)
+            self._acknowledge_when_known(now, known.server, done)
             return
         if changed:
             self._tell_core(now, RowsHeard(members=[], servers=[(told.id, known.server.row())]))
@@ -281,32 +281,33 @@
         if known is None:
             done(True)
         else:
-            self._pledge(now, known.server, done)
-
-    def _pledge(self, now: float, server: Server, done: Callable[[bool], object]) -> None:
-        self.pledged += 1
-        pledge = Pledge(server.row(), server.id, done, now + PLEDGE_MS, {self.me.disk})
-        self.pledges[self.pledged] = pledge
-        self._ask_core(now, self.pledged, pledge)
-        self._settle(self.pledged, pledge)
-
-    def _ask_core(self, now: float, number: int, pledge: Pledge) -> None:
-        servers = [(pledge.key, pledge.row)]
+            self._acknowledge_when_known(now, known.server, done)
+
+    def _acknowledge_when_known(self, now: float, server: Server, done: Callable[[bool], object]) -> None:
+        self.last_ask += 1
+        until = now + ACKNOWLEDGE_MS
+        acknowledgement = PendingAcknowledgement(server.row(), server.id, done, until, {self.me.disk})
+        self.pending[self.last_ask] = acknowledgement
+        self._ask_core(now, self.last_ask, acknowledgement)
+        self._settle(self.last_ask, acknowledgement)
+
+    def _ask_core(self, now: float, number: int, acknowledgement: PendingAcknowledgement) -> None:
+        servers = [(acknowledgement.key, acknowledgement.row)]
         self._tell_core(now, RowsHeard(members=[], servers=servers, ask=number, life=self.me.life))
 
     def rows_known(self, message: RowsKnown) -> None:
         """Another core machine has a change in its memory."""
-        pledge = self.pledges.get(message.ask)
-        if pledge is not None and message.life == self.me.life:
-            pledge.by.add(message.disk)
-            self._settle(message.ask, pledge)
+        acknowledgement = self.pending.get(message.ask)
+        if acknowledgement is not None and message.life == self.me.life:
+            acknowledgement.by.add(message.disk)
+            self._settle(message.ask, acknowledgement)
 
-    def _settle(self, number: int, pledge: Pledge) -> None:
+    def _settle(self, number: int, acknowledgement: PendingAcknowledgement) -> None:
         core_machines = self.members.core_machines
         voters = self.voters or {heard.member.disk: node for node, heard in core_machines.items()}
-        if len(pledge.by & voters.keys()) * 2 > len(voters):
-            del self.pledges[number]
-            pledge.done(True)
+        if len(acknowledgement.by & voters.keys()) * 2 > len(voters):
+            del self.pending[number]
+            acknowledgement.done(True)
 
     # Other core machines ------------------------------------------------------------------
 
@@ -326,7 +327,7 @@
                 self._server(name)
 
     def sync(self, now: float, message: Sync) -> None:
-        """Another core machine's regular word: whom it hears, and its digests."""
+        """Another core machine's regular message: whom it hears, and its digests."""
         sender = member_of(message.sender, message.me)
         echo = Synced(disk=self.me.disk, life=sender.life, sent_at=message.sent_at)
         self.out.append((message.address, echo))
@@ -349,7 +350,7 @@
             self.ready = True
 
     def synced(self, message: Synced) -> None:
-        """Another core machine echoes the time at which a word of this life was sent."""
+        """Another core machine echoes the time at which a message of this life was sent."""
         if message.life == self.me.life:
             before = self.echoed.get(message.disk, self.born)
             self.echoed[message.disk] = max(before, message.sent_at)
@@ -434,10 +435,10 @@
                     row = self.members.of[node].member.row()
                     self._tell_core(now, RowsHeard(members=[(node, row)], servers=[]))
             self._sync_out(now)
-        for number, pledge in list(self.pledges.items()):
-            if now >= pledge.until:
-                del self.pledges[number]
-                pledge.done(False)
+        for number, acknowledgement in list(self.pending.items()):
+            if now >= acknowledgement.until:
+                del self.pending[number]
+                acknowledgement.done(False)
         if (
             not self.ready
             and now - self.born > (MEET_MS if self.met else WAIT_MS)
--- a/larklb/registry/subscriber.py
+++ b/larklb/registry/subscriber.py
@@ -17,9 +17,9 @@
 from larklb.registry.registry import GONE, Server, merged, server_of
 from larklb.registry.replica import Outgoing
 
-HELLO_MS = 120.0  # between words to the seeds while there is no home, ...
+HELLO_MS = 120.0  # between messages to the seeds while there is no home, ...
 HELLO_CALM_MS = 2_000.0  # ... and while there is one, from a core machine: others must find it
-SILENT_MS = 1_100.0  # without a word, two beats lost, until another home is tried
+SILENT_MS = 1_100.0  # without a message, two beats lost, until another home is tried
 SHUN_MS = 2_500.0  # a home that was silent is not tried again for so long
 UNSURE_MS = 5_000.0  # what a new home does not know is kept for so long: it may know more soon
 CORES_MS = 30_000.0  # a core machine of which nothing was heard for so long is no home
@@ -48,7 +48,7 @@
     have: int = 0
     whole: bool = False  # the table of this home has been seen to its end
     ever: bool = False  # ... or of any home
-    heard: float = -math.inf  # a word of the home
+    heard: float = -math.inf  # a message of the home
     beat_at: float = -math.inf
     hello_at: float = -math.inf
     members: dict[str, Member] = field(factory=dict)
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -18,23 +18,23 @@
 from larklb.balancing.choice import AbleChoice
 from larklb.balancing.errors import UnreadableError
 from larklb.balancing.estimates import Ability, Estimates, judged
-from larklb.balancing.load import Hands, Others, bearable, divided, waiting
+from larklb.balancing.load import InFlight, Others, bearable, divided, waiting
 
 
 class Repeats(Estimates):
     """Fault: takes what it has taken already, or what is older."""
 
-    def hear(self, now: float, observer: str, words: Mapping[str, Any]) -> bool:
+    def take(self, now: float, observer: str, message: Mapping[str, Any]) -> bool:
         self.reports.pop(observer, None)
-        return Estimates.hear(self, now, observer, words)
+        return Estimates.take(self, now, observer, message)
 
 
 class Adds(Estimates):
     """Fault: adds sums to those that they replace."""
 
-    def hear(self, now: float, observer: str, words: Mapping[str, Any]) -> bool:
+    def take(self, now: float, observer: str, message: Mapping[str, Any]) -> bool:
         old = self.reports.get(observer)
-        new = Estimates.hear(self, now, observer, words)
+        new = Estimates.take(self, now, observer, message)
         if new and old is not None:
             for server, row in old.rows.items():
                 if server in self.reports[observer].rows:
@@ -58,24 +58,24 @@
 
 
 def merges(kind: type[Estimates], seed: int) -> None:
-    """However words are lost, repeated and disordered, each observer's newest counts once."""
+    """However messages are lost, repeated and disordered, each observer's newest counts once."""
     chance, told = random.Random(seed), []
     observers = {f"m{i}": Estimates(life=1) for i in range(3)}
     for step in range(12):
         name = chance.choice(sorted(observers))
         observers[name].of(0.0, "s").add(0.0, chance.gauss(0.5, 0.3), 1.0)
-        told.append((name, json.loads(json.dumps(observers[name].words(0.0)))))
+        told.append((name, json.loads(json.dumps(observers[name].message(0.0)))))
         if step % 4 == 3:              # a new life begins with nothing and still is news
             observers[name] = Estimates(life=observers[name].life + 1)
-            told.append((name, observers[name].words(0.0)))
+            told.append((name, observers[name].message(0.0)))
     heard, order = kind(), [w for w in told if chance.random() < 0.7] * 2
-    last = {name: words for name, words in told}
+    last = {name: message for name, message in told}
     chance.shuffle(order)
-    for name, words in order + list(last.items()) + order[:5]:
-        heard.hear(0.0, name, words)
+    for name, message in order + list(last.items()) + order[:5]:
+        heard.take(0.0, name, message)
     plain = Estimates()
-    for name, words in last.items():
-        plain.hear(0.0, name, words)
+    for name, message in last.items():
+        plain.take(0.0, name, message)
     assert heard.ability(0.0, "s") == plain.ability(0.0, "s")
 
 
@@ -89,7 +89,7 @@
         observer = Estimates(life=1)
         for _ in range(60 if i == 0 else 6):
             observer.of(0.0, "s").add(0.0, chance.gauss(1.4 if i == 0 else 0.0, 0.1), 1.5)
-        many.hear(0.0, f"m{i}", observer.words(0.0))
+        many.take(0.0, f"m{i}", observer.message(0.0))
     assert many.ability(0.0, "s").slowness < math.log(2.0)
 
 
@@ -132,7 +132,7 @@
 def test_words_that_no_evidence_gives_are_refused(rows: Any) -> None:
     known = Estimates()
     with pytest.raises(UnreadableError):
-        known.hear(0.0, "m1", {"life": 1, "count": 1, "rows": rows})
+        known.take(0.0, "m1", {"life": 1, "count": 1, "rows": rows})
     assert known.ability(0.0, "s") == Ability()
 
 
@@ -140,21 +140,21 @@
     teller, known = Estimates(life=1), Estimates()
     for _ in range(20):
         teller.of(0.0, "s").add(0.0, 1.0, 2.0)
-    known.hear(0.0, "m1", teller.words(0.0))
+    known.take(0.0, "m1", teller.message(0.0))
     assert known.ability(10.0, "s").slowness > 0.5
     assert known.ability(e.STALE_MS + 10.0, "s").slowness < 0.5 or known.fallen == {}
     assert known.others(e.STALE_MS + 10.0, "s") is None
 
 
-def test_hands_replace_each_other_and_expire() -> None:
-    teller, known = Hands(life=1), Hands()
-    first = teller.words(0.0, {"s": 2, "t": 0})
-    second = teller.words(10.0, {"s": 1})
-    assert first and second and teller.words(20.0, {"s": 1}) is None
-    known.hear(11.0, "m1", second)
-    assert not known.hear(12.0, "m1", first) and known.sums == {"s": 1}
+def test_in_flight_replace_each_other_and_expire() -> None:
+    teller, known = InFlight(life=1), InFlight()
+    first = teller.message(0.0, {"s": 2, "t": 0})
+    second = teller.message(10.0, {"s": 1})
+    assert first and second and teller.message(20.0, {"s": 1}) is None
+    known.take(11.0, "m1", second)
+    assert not known.take(12.0, "m1", first) and known.sums == {"s": 1}
     known.expire(1_000.0)
-    assert known.sums == {} and not known.hear(1_001.0, "m1", first)
+    assert known.sums == {} and not known.take(1_001.0, "m1", first)
 
 
 @tries(derandomize=True, deadline=None, max_examples=60)
@@ -216,12 +216,12 @@
     assert choice.norm("dear").work() / choice.norm("cheap").work() == pytest.approx(10.0, rel=0.25)
 
 
-def test_peers_hands_keep_a_herd_from_one_server() -> None:
+def test_peers_in_flight_keep_a_herd_from_one_server() -> None:
     choice = fleet(2)
     served(choice, {}, {"r": 50.0})
     now = choice.clock + 1.0
     for busy, idle in (("s0", "s1"), ("s1", "s0")):
-        choice.hear_hands(now, "m1", {"life": 1, "count": now, "hands": {busy: 2}})
+        choice.take_in_flight(now, "m1", {"life": 1, "count": now, "in_flight": {busy: 2}})
         picked = choice.pick(now, "t", "r", 1_000.0)
         assert picked is not None and picked.id == idle
         now += 1.0
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -563,7 +563,7 @@
         world.expect(world.put(leader), 200)
     world.run(300)
     follower = others(world, leader)[0]
-    leader.replica._send(follower.disk, InstallSnapshot, snapshot=old.word(), round=0)
+    leader.replica._send(follower.disk, InstallSnapshot, snapshot=old.to_message(), round=0)
     world.pump(leader)
     world.run(300)
     world.check_end()
@@ -598,7 +598,7 @@
             "term": term,
             "round": 1,
             "prev": [entry.index - 1, term],
-            "entries": [entry.word()],
+            "entries": [entry.to_message()],
             "commit": entry.index,
             "seen": [0, 0.0],
         },
@@ -889,7 +889,7 @@
             prev=[index - 1, prev_term],
             commit=0,
             round=1,
-            entries=[Entry(index, term, "noop").word()],
+            entries=[Entry(index, term, "noop").to_message()],
             seen=[0, 0.0],
         )
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -855,7 +855,7 @@
         if node.home is not None:
             assert not {"s0", "s1"} & node.home.registry.of.keys(), node.name
             assert "a3" not in node.home.members.of, node.name
-            assert len(node.home.subscribers) < 8 and not node.home.pledges
+            assert len(node.home.subscribers) < 8 and not node.home.pending
         if node.up:
             assert not {"s0", "s1"} & node.follower.servers.keys(), node.name
 
@@ -1043,9 +1043,9 @@
     return max(one, other, key=lambda s: s.sequence)
 
 
-def _promised(self: RegistryReplica, number: int, pledge: Any) -> None:
-    del self.pledges[number]
-    pledge.done(True)
+def _promised(self: RegistryReplica, number: int, acknowledgement: Any) -> None:
+    del self.pending[number]
+    acknowledgement.done(True)
 
 
 _delta = Subscriber.delta
