--- /dev/null
+++ b/larklb/lab/system_servers.py
@@ -0,0 +1,133 @@
+"""Stand-in servers of the trial of the whole system."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections import Counter
+from contextlib import suppress
+
+from attrs import define, field
+
+from larklb.lab.system_network import DRAIN_S, PERIOD_S, call
+from larklb.lab.yard import read_head
+from larklb.schema.document import digest
+
+SLOTS, QUEUE = 8, 8        # of a server
+WORK_S = (0.015, 0.06)
+
+
+@define(eq=False)
+class StandIn:
+    """One server: it works on requests, tells its load, and beats at the limiters' control addresses."""
+
+    id: str
+    service: str
+    zone: str
+    ip: str
+    port: int
+    controls: list[str]
+    chance: random.Random
+    runs: Counter[str] = field(factory=Counter)        # by path: what it has begun to work on
+    turned_away: int = 0
+    running: int = 0
+    waiting: int = 0
+    sequence: int = 0
+    draining: bool = False
+    told_at: float = 0.0           # when its leaving was acknowledged
+    late: int = 0                  # requests that came after the bound on that had run out
+    report_to: str = ""
+    server: asyncio.Server | None = None
+    slots: asyncio.Semaphore = field(factory=lambda: asyncio.Semaphore(SLOTS))
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, self.ip, self.port)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(EOFError, OSError, ValueError, asyncio.LimitOverrunError):
+            while True:
+                first, headers = await read_head(reader)
+                body = await reader.readexactly(int(headers.get("content-length", 0)))
+                status, more, told = await self._answer(first.split()[1], headers, body)
+                if self.draining:
+                    more["Connection"] = "close"
+                lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(told)}",
+                         f"X-Load: {self.running},{self.waiting},{SLOTS}", f"X-Instance-Id: {self.id}",
+                         *(f"{name}: {value}" for name, value in more.items())]
+                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + told)
+                await writer.drain()
+                if self.draining:
+                    break
+        writer.close()
+
+    async def _answer(self, path: str, headers: dict[str, str],
+                      body: bytes) -> tuple[int, dict[str, str], bytes]:
+        now = asyncio.get_running_loop().time()
+        if path == "/up":
+            return 503 if self.draining else 200, {}, b""
+        if headers.get("x-target-instance", self.id) != self.id:
+            self.turned_away += 1
+            return 421, {"X-Not-Run": "1"}, b""
+        if "x-attempt-id" not in headers:
+            return 400, {"X-Not-Run": "1"}, b""
+        if self.told_at and now - self.told_at > DRAIN_S:
+            self.late += 1
+        same = {"X-Attempt-Id": headers["x-attempt-id"]}
+        if self.running + self.waiting >= SLOTS + QUEUE:
+            self.turned_away += 1
+            return 503, {"X-Not-Run": "1", **same}, b""
+        self.waiting += 1
+        async with self.slots:
+            self.waiting -= 1
+            self.running += 1
+            self.runs[path] += 1
+            try:
+                await asyncio.sleep(self.chance.uniform(*WORK_S))
+            finally:
+                self.running -= 1
+        seal = digest({"id": self.id, "attempt": headers["x-attempt-id"]})[:16]
+        return 200, {"X-Server-Seal": seal, **same}, f"{path} for {headers.get('x-tenant', '')}".encode()
+
+    async def beat(self) -> bool:
+        """One heartbeat, at another limiter where the first gives no answer; whether it was acknowledged."""
+        self.sequence += 1
+        body = json.dumps({
+            "address": f"{self.ip}:{self.port}",
+            "info": {"target": self.service, "version": "v1", "zone": self.zone, "capacity": SLOTS},
+            "observed": {"state": "draining" if self.draining else "steady", "sequence": self.sequence,
+                         "warmupLeftMs": 0}}).encode()
+        others = self.chance.sample(self.controls, len(self.controls))
+        for address in [self.report_to, *others] if self.report_to else others:
+            with suppress(OSError, TimeoutError):
+                status, _, told = await call(address, "POST", f"/larklb/instances/{self.id}/heartbeat",
+                                             {"Content-Type": "application/json"}, body)
+                if status < 300:
+                    self.report_to = str(json.loads(told or b"{}").get("reportTo", ""))
+                    return True
+            self.report_to = ""
+        return False
+
+    async def live(self) -> None:
+        """Beats until it is told to leave."""
+        while not self.draining:
+            await self.beat()
+            await asyncio.sleep(PERIOD_S)
+
+    async def leave(self) -> None:
+        """An orderly end: acknowledged, served on for as long as that takes to be known, told, over."""
+        self.draining = True
+        until = asyncio.get_running_loop().time() + 5.0
+        while not await self.beat() and asyncio.get_running_loop().time() < until:
+            await asyncio.sleep(0.1)
+        self.told_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(DRAIN_S + 0.5)
+        for address in self.controls:
+            with suppress(OSError, TimeoutError):
+                if (await call(address, "POST", f"/larklb/instances/{self.id}/leave"))[0] < 300:
+                    break
+        await self.stop()
+
+    async def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -32,7 +32,7 @@
 from larklb.gateway.messages import CallAnswer, CallResult, OperatorCall
 from larklb.gateway.transport import Transport
 from larklb.lab import system as lab
-from larklb.lab.system import CHANGE, CONFIGURATION, Net, settings
+from larklb.lab.system_network import CHANGE, CONFIGURATION, Net, settings
 from larklb.membership.members import Member
 from larklb.registry.registry import Server
 from larklb.schema import calls, configuration
