--- a/larklb/lab/control_day_faults.py
+++ b/larklb/lab/control_day_faults.py
@@ -25,7 +25,15 @@
         "drain_and_lose": 4,
     },
     "races": {"lost_answers": 5, "kill": 2, "freeze_leader": 2, "kill_all": 1, "resend": 6},
-    "replacement": {"wipe": 5, "replace": 5, "planned": 3, "terminate": 4, "wipe_after_ack": 4, "kill": 1},
+    "replacement": {
+        "wipe": 5,
+        "replace": 5,
+        "planned": 3,
+        "replacement_stopped": 3,
+        "terminate": 4,
+        "wipe_after_ack": 4,
+        "kill": 1,
+    },
     "history": {
         "away": 5,
         "restarts": 4,
@@ -57,7 +65,7 @@
         },
         **{"kill_all": 1, "resend": 2, "wipe": 2, "replace": 2, "planned": 1, "terminate": 2, "away": 1},
         **{"restarts": 1, "loss": 2, "limiter": 2, "wipe_after_ack": 2, "cut_and_restart": 1},
-        **{"leader_lost_on_return": 1, "drain_and_lose": 1},
+        **{"leader_lost_on_return": 1, "drain_and_lose": 1, "replacement_stopped": 1},
     },
 }
 
@@ -283,6 +291,19 @@
         self.world.at(1_500.0, lambda: self.world.terminate(machine, 4_000.0))
         self.world.at(5_600.0, partial(self._gone, machine))
 
+    def _replacement_stopped(self) -> None:
+        """A successor is lost on its way into the group; the machine that it was to replace stays."""
+        if self._room() <= 0:
+            return
+        newcomer = self._newcomer()
+        self.world.at(self.world.rng.uniform(200, 6_000), lambda: self._stop_replacement(newcomer))
+
+    def _stop_replacement(self, newcomer: Machine) -> None:
+        if newcomer.node not in self.lost and self._room() <= 0:
+            return  # it has come to count, and no other may be lost now
+        self.count_lost(newcomer, 0.0)
+        self._gone(newcomer)
+
     def _gone(self, machine: Machine) -> None:
         if machine.node in self.world.machines:
             self.world.remove(machine)
--- a/larklb/lab/control_faults.py
+++ b/larklb/lab/control_faults.py
@@ -6,8 +6,8 @@
     cut          a core machine cut off for 20 s, frozen, slow or with a hanging disk, and asked all the
                  while; one that has just acknowledged a drain is lost
     races        operators on one version, eight orders at once, answers lost, orders sent again late
-    replacement  disks lost, machines replaced or told to end, a second loss as soon as the first counts as
-                 mended
+    replacement  disks lost, machines replaced or told to end, replacements stopped half way, a second loss
+                 as soon as the first counts as mended
     history      hundreds of changes while a member is away, restarted again and again, on slow disks; the
                  leader lost as it comes back
     answers      messages that are lost, come twice or late, processes that end and begin anew: answers to
