--- a/benchmarks/ability.py
+++ b/benchmarks/ability.py
@@ -24,7 +24,9 @@
 
 from larklb.admission.choice import Choice, Place
 from larklb.balancing.choice import AbleChoice
-from larklb.lab.emulator import Deployment, Figures, Trouble, flags, play, shop
+from larklb.lab.emulator import play
+from larklb.lab.emulator_deployment import Deployment, Trouble, flags, shop
+from larklb.lab.emulator_figures import Figures
 from larklb.lab.emulator_rivals import RIVALS
 
 KEPT = 0.001               # of in-aim by which the new choice may stay behind the best rival, for chance ...
--- a/larklb/lab/emulator.py
+++ b/larklb/lab/emulator.py
@@ -12,17 +12,17 @@
 import itertools
 import math
 import random
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Protocol, runtime_checkable
 
-from attrs import define, evolve, field
-
 from larklb.admission.budget import Budget
 from larklb.admission.choice import Choice, Place
 from larklb.admission.tries import Course, End, Next
 from larklb.gateway.front import AGAIN_MOST_MS, AGAIN_MS, HEDGE_AIM, HEDGE_LAST, HEDGE_LATE, MARGIN_MS
 from larklb.gateway.servers import DIAL_NEAR_MS, IDLE_MS, LEAST_MS
+from larklb.lab.emulator_deployment import Deployment, Route, Service, Trouble
+from larklb.lab.emulator_figures import Figures
 
 CLIENT_TRIES = 3           # of a client's request, the first among them
 NOTICED_MS = 2_600.0       # from a server's silence until limiters are told that its heartbeats have ceased
@@ -32,99 +32,11 @@
 SHARE_MS = 500.0           # between two messages of a limiter to its peers, by way of the home ...
 SHARE_WAY_MS = 25.0        # ... which takes so long
 SHARE_LOSS = 0.02          # of them
-IN_FLIGHT_MS = 25.0            # between two messages on what is in hand, to the peers of a limiter's zone ...
-IN_FLIGHT_WAY_MS = 3.0         # ... with the time until they are read
+IN_FLIGHT_MS = 25.0        # between two messages on what is in hand, to the peers of a limiter's zone ...
+IN_FLIGHT_WAY_MS = 3.0     # ... with the time until they are read
 RETRY_RATIO, RETRY_WINDOW_MS, RETRY_SLACK = 0.2, 10_000.0, 64.0
 
 
-@define(frozen=True)
-class Route:
-    """``rate`` a second before it is scaled to the load; ``work`` the mean ms at speed 1, ``spread`` the
-    standard deviation of its logarithm."""
-
-    name: str
-    service: str
-    rate: float
-    work: float
-    spread: float
-    aim: float
-    deadline: float
-    safe: bool = True
-    tries: int = 2
-
-
-@define(frozen=True)
-class Service:
-    """Servers of one kind.  ``strain``: times longer that work takes with all slots in use, less 1."""
-
-    name: str
-    servers: int
-    slots: int
-    speeds: tuple[float, ...]
-    queue: int = 16
-    on_full: str = "hang"
-    strain: float = 0.0
-    tells: str = "true"            # X-Load: true, absent, zero, full or stale
-
-
-@define(frozen=True)
-class Trouble:
-    """From ``at`` for ``lasts`` ms ``part`` of a service's servers (one at least) are 'slow' by ``times`` or
-    'dark'; or all are replaced one after another ('release'), evenly over ``lasts``."""
-
-    what: str
-    at: float
-    lasts: float
-    service: str
-    part: float = 0.0
-    times: float = 4.0
-
-
-@define(frozen=True)
-class Deployment:
-    """Who there is, what is asked of them, and what befalls them."""
-
-    name: str
-    limiters: int
-    zones: tuple[str, ...]
-    inside: float                  # ms one way in a zone ...
-    between: float                 # ... and between zones
-    client: float                  # ... and from clients
-    services: tuple[Service, ...]
-    routes: tuple[Route, ...]
-    load: float = 0.47
-    wave: float = 0.15
-    wave_ms: float = 20_000.0
-    length: float = 40_000.0
-    settling: float = 10_000.0     # not measured
-    cold_ms: float = 3_000.0
-    cold: float = 2.0
-    troubles: tuple[Trouble, ...] = ()
-    know: bool = True              # limiters start with the day; False: all restart at the end of settling
-
-
-def shop(**changes: Any) -> Deployment:
-    """Twelve limiters before 15 and 12 servers of four slots."""
-    return evolve(Deployment(
-        "A", 12, ("a", "b", "c"), 0.1, 0.5, 3.0,
-        (Service("orders", 15, 4, (0.8, 1.0, 1.25)), Service("stock", 12, 4, (0.7, 1.0, 1.0, 1.5))),
-        (Route("peek", "orders", 120.0, 160.0, 0.8, 600.0, 1_500.0),
-         Route("commit", "orders", 35.5, 210.0, 0.5, 800.0, 2_000.0, safe=False),
-         Route("pull", "stock", 47.4, 400.0, 0.5, 1_200.0, 3_000.0),
-         Route("check", "stock", 29.6, 64.0, 0.8, 250.0, 600.0))), **changes)
-
-
-def flags(**changes: Any) -> Deployment:
-    """Fourteen limiters before 17 and 16 servers of two slots."""
-    return evolve(Deployment(
-        "B", 14, ("a", "b", "c"), 0.1, 1.4, 8.0,
-        (Service("live", 17, 2, (0.8, 1.0, 1.25)), Service("history", 16, 2, (0.7, 1.0, 1.0, 1.5))),
-        (Route("lookup", "live", 84.1, 120.0, 0.8, 400.0, 2_500.0, tries=3),
-         Route("toggle", "live", 30.6, 160.0, 0.5, 500.0, 3_000.0, safe=False, tries=3),
-         Route("history", "history", 42.0, 300.0, 0.5, 1_000.0, 6_000.0, tries=3),
-         Route("snapshot", "history", 32.5, 48.0, 0.8, 200.0, 1_200.0, tries=3))), **changes)
-
-
 Make = Callable[[int, str, dict[str, str], int], Choice]
 
 
@@ -200,52 +112,6 @@
         self.rests: dict[str, list[float]] = {}
 
 
-@define
-class Figures:
-    """Of one day.  ``took`` by route, ms from the first try, infinite where not served; ``taken`` by
-    service and server; ``able`` likewise, slots times speed."""
-
-    took: dict[str, list[float]] = field(factory=dict)
-    aims: dict[str, float] = field(factory=dict)
-    taken: dict[str, dict[str, int]] = field(factory=dict)
-    able: dict[str, dict[str, float]] = field(factory=dict)
-    count: Counter[str] = field(factory=Counter)
-    windows: dict[int, list[int]] = field(factory=dict)      # by second, in aim and all
-
-    def in_aim(self, route: str | None = None) -> float:
-        """The part answered inside its aim."""
-        names = [route] if route else list(self.took)
-        good = sum(sum(t <= self.aims[n] for t in self.took[n]) for n in names)
-        return good / max(1, sum(len(self.took[n]) for n in names))
-
-    def worst(self, seconds: int = 5) -> float:
-        """The part inside its aim in the worst ``seconds`` in a row."""
-        at = sorted(self.windows)
-        sums = [tuple(sum(self.windows[s][k] for s in at[i:i + seconds]) for k in (0, 1))
-                for i in range(max(1, len(at) - seconds + 1))]
-        return min(good / max(1, total) for good, total in sums)
-
-    def at(self, route: str, part: float) -> float:
-        """A quantile of a route's times, ms."""
-        times = sorted(self.took[route])
-        return times[min(len(times) - 1, int(part * len(times)))] if times else math.nan
-
-    def error(self, service: str) -> float:
-        """Half the sum of differences between shares of traffic and of ability: the part that is
-        misplaced."""
-        taken, able = self.taken[service], self.able[service]
-        total, sum_able = max(1, sum(taken.values())), sum(able.values())
-        return sum(abs(taken[s] / total - able[s] / sum_able) for s in able) / 2.0
-
-    def weakest(self, service: str) -> float:
-        """The weakest servers' traffic, times what would be in keeping with their ability."""
-        taken, able = self.taken[service], self.able[service]
-        low = min(able.values())
-        weak = [s for s in able if able[s] == low]
-        share = sum(taken[s] for s in weak) / max(1, sum(taken.values()))
-        return share / (low * len(weak) / sum(able.values()))
-
-
 class Emulator:
     """One day of a deployment; ``run`` plays it."""
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -10,7 +10,8 @@
 from larklb.admission.choice import Choice
 from larklb.admission.tries import End
 from larklb.balancing.choice import AbleChoice
-from larklb.lab.emulator import Deployment, Emulator, Make, Trouble, flags, play, shop
+from larklb.lab.emulator import Emulator, Make, play
+from larklb.lab.emulator_deployment import Deployment, Trouble, flags, shop
 from larklb.lab.emulator_rivals import RIVALS
 
 pytestmark = pytest.mark.simulation
