--- a/tests/test_custody.py
+++ b/tests/test_custody.py
@@ -23,6 +23,9 @@
 from larklb.lab.yard import Yard, ask, http, job
 from tests.test_usage import larklb
 
+# Six limiters and their nodes keep the time of one process: no other such day may run beside it.
+pytestmark = pytest.mark.xdist_group("rig")
+
 CUSTODY = "[custody]\n"
 STRICT = '[custody]\nlost = "refuse"\n'          # on a machine that is slow to answer, too
 
--- a/tests/test_lab_fleet.py
+++ b/tests/test_lab_fleet.py
@@ -20,6 +20,9 @@
 from larklb.lab.fleet import Audit, Rig
 from tests.test_usage import larklb
 
+# Six limiters and their nodes keep the time of one process: no other such day may run beside it.
+pytestmark = pytest.mark.xdist_group("rig")
+
 
 def played(name: str, folder: Path, seed: int = 1) -> tuple[Audit, Rig]:
     day = script.load(name)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -21,6 +21,9 @@
 from tests.conftest import Bed
 from tests.test_usage import larklb
 
+# Six limiters and their nodes keep the time of one process: no other such day may run beside it.
+pytestmark = pytest.mark.xdist_group("rig")
+
 Make = Callable[[int, float], Limits]
 
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -32,6 +32,9 @@
 from tests.conftest import Bed
 from tests.test_usage import larklb
 
+# Six limiters and their nodes keep the time of one process: no other such day may run beside it.
+pytestmark = pytest.mark.xdist_group("rig")
+
 HALF = 4000.0
 NODES = [(zone, 100 * i + n, 1.0) for i, zone in enumerate("abc") for n in range(6)]
 
