--- a/larklb/lab/control_day_faults.py
+++ b/larklb/lab/control_day_faults.py
@@ -186,7 +186,9 @@
         self.world.at(for_ms, lambda: self.world.thaw(machine))
 
     def _order_at(self, machine: Machine) -> None:
-        """An order and a read lie at a machine that stands still."""
+        """An order and a read lie at a machine that stands still; at a day's end there are no new orders."""
+        if self.operators.quiet:
+            return
         base = self.operators.known
         order = self.operators.order(base, base + 1)
         call = OperatorOrder("replace", base, order.body)
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -181,3 +181,8 @@
     for now, state in ((0.95 * LEASE_MS * scale, UP), (1.05 * LEASE_MS * scale, DOWN)):
         home.members.expire(now)
         assert home.members.of["n"].member.state == state
+
+
+def test_no_order_is_sent_while_a_day_reads_its_end() -> None:
+    """In this day one was, for a machine that had stood still: it came into force after the last read."""
+    assert played(Task("races", 400_429, 4))[0].why == ""
