Closes of clients are counted by phase, and a process tells its own figures

No decision changes; the library is imported in a thread with the first scrape, as it takes up to 0.4 s. Families are shared with the command larklb system metrics.

--- a/larklb/cli/system_metrics.py
+++ b/larklb/cli/system_metrics.py
@@ -7,20 +7,20 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 from attrs import define
 from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.core import Metric
 from prometheus_client.registry import Collector
 
 from larklb.cli.system_calls import Caller, Fleet, Row, asked, everyone
 from larklb.cli.system_live import leading
+from larklb.gateway.metrics import families, gauge
 from larklb.schema import calls
 
 MEMBER_STATES = ("up", "leaving", "down")
 SERVER_STATES = ("steady", "draining", "gone")
-BYTES = "_bytes"           # ends the names of words that count bytes
 
 
 @define(eq=False)         # the registry keeps it as a key
@@ -36,52 +36,25 @@
     def collect(self) -> Iterable[Metric]:
         """All families; a state that nobody is in is there with 0, so that a graph of it has no gaps."""
         yield from self._limiters()
-        yield from self._counts()
+        yield from families(self.fleet.answers)
         yield from self._tables()
         yield from self._core()
 
     def _limiters(self) -> Iterable[Metric]:
         answers = self.fleet.answers
         states = Counter(row["state"] for row in self.fleet.members)
-        yield _gauge("larklb_members", "Limiters by state, as the one that was asked first knows them.",
+        yield gauge("larklb_members", "Limiters by state, as the one that was asked first knows them.",
                      ("state",), [((s,), states[s]) for s in sorted({*MEMBER_STATES, *states})])
-        yield _gauge("larklb_up", "1 if the limiter answered, 0 if it is silent or down.", ("node", "zone"),
+        yield gauge("larklb_up", "1 if the limiter answered, 0 if it is silent or down.", ("node", "zone"),
                      [((row["node"], row["zone"]), row["node"] in answers) for row in self.fleet.members])
-        for name, text, key, scale in (
-                ("larklb_ready", "1 if the limiter takes clients.", "ready", 1.0),
-                ("larklb_leaving", "1 if the limiter is ending in order.", "leaving", 1.0),
-                ("larklb_uptime_seconds", "Time since the limiter's start.", "upMs", 1e-3),
-                ("larklb_configuration_version", "Version of the configuration in force, 0 for none.",
-                 "version", 1.0)):
-            yield _gauge(name, text, ("node",), [((n,), told[key] * scale) for n, told in answers.items()])
-
-    def _counts(self) -> Iterable[Metric]:
-        answers = self.fleet.answers
-        events = CounterMetricFamily("larklb_events", "Requests and what became of them, by event.",
-                                     labels=("node", "event"))
-        words = CounterMetricFamily("larklb_words", "Words between limiters, by what became of them.",
-                                    labels=("node", "event"))
-        size = CounterMetricFamily("larklb_word_bytes", "Bytes of words between limiters, by event.",
-                                   labels=("node", "event"))
-        for node, told in sorted(answers.items()):
-            for event, count in sorted(told["counts"].items()):
-                events.add_metric((node, event), count)
-            for event, count in sorted(told["words"].items()):
-                family = size if event.endswith(BYTES) else words
-                family.add_metric((node, event.removesuffix(BYTES)), count)
-        yield from (events, words, size)
-        yield _gauge("larklb_open_connections", "Connections now, by who is at the other end.",
-                     ("node", "peer"), [((node, peer), count) for node, told in answers.items()
-                                        for peer, count in told["open"].items()])
-
     def _tables(self) -> Iterable[Metric]:
         states = Counter((row["service"], row["state"]) for row in self.servers)
         silent = Counter(row["service"] for row in self.servers if row["silent"])
         services = {row["service"] for row in self.servers}
-        yield _gauge("larklb_servers", "Servers by state, as the limiter that was asked first sees them.",
+        yield gauge("larklb_servers", "Servers by state, as the limiter that was asked first sees them.",
                      ("service", "state"), [((service, state), states[service, state]) for service in services
                                             for state in {*SERVER_STATES, *(s for _, s in states)}])
-        yield _gauge("larklb_servers_silent", "Servers whose heartbeats have ceased, whatever their state.",
+        yield gauge("larklb_servers_silent", "Servers whose heartbeats have ceased, whatever their state.",
                      ("service",), [((service,), silent[service]) for service in services])
         for name, text, key in (
                 ("larklb_quota_tokens", "Requests that may be let in here now, by the tenant's bucket "
@@ -91,17 +64,17 @@
                 ("larklb_quota_apart", "At the owner: limiters whose parts are set aside.", "apart"),
                 ("larklb_quota_untold", "At an asker: requests let in that the owner wasn't told of yet.",
                  "untold")):
-            yield _gauge(name, text, ("node", "tenant", "role"),
+            yield gauge(name, text, ("node", "tenant", "role"),
                          [((row["node"], row["tenant"], row["role"]), row[key]) for row in self.quotas
                           if key in row])
 
     def _core(self) -> Iterable[Metric]:
         leaders = leading(self.cores)
-        yield _gauge("larklb_core_leader", "1 at the core machine that leads in the newest term.", ("node",),
+        yield gauge("larklb_core_leader", "1 at the core machine that leads in the newest term.", ("node",),
                      [((row["node"],), row in leaders) for row in self.cores])
-        yield _gauge("larklb_core_settled", "1 if a leader takes changes now.", (),
+        yield gauge("larklb_core_settled", "1 if a leader takes changes now.", (),
                      [((), len(leaders) == 1 and bool(leaders[0]["settled"]))])
-        yield _gauge("larklb_core_voters", "Voters in the newest group that is known to a core machine.", (),
+        yield gauge("larklb_core_voters", "Voters in the newest group that is known to a core machine.", (),
                      [((), len(max(self.cores, key=lambda r: (r["term"], r["last"]),
                                    default={"voters": ()})["voters"]))])
         for name, text, key in (
@@ -112,15 +85,7 @@
                 ("larklb_core_version", "Version of the newest committed configuration there.", "version"),
                 ("larklb_core_saving", "1 while a write to the core machine's disk is under way.", "saving"),
                 ("larklb_core_serves", "1 if the core machine may tell its tables to others.", "serves")):
-            yield _gauge(name, text, ("node",), [((row["node"],), row[key]) for row in self.cores])
-
-
-def _gauge(name: str, text: str, labels: Sequence[str],
-           rows: Iterable[tuple[tuple[str, ...], float]]) -> GaugeMetricFamily:
-    family = GaugeMetricFamily(name, text, labels=labels)
-    for values, value in sorted(rows):
-        family.add_metric(values, float(value))
-    return family
+            yield gauge(name, text, ("node",), [((row["node"],), row[key]) for row in self.cores])
 
 
 def told(caller: Caller) -> tuple[Fleet, str]:
--- a/larklb/gateway/front.py
+++ b/larklb/gateway/front.py
@@ -18,6 +18,7 @@
 from larklb.admission.quota_records import Verdict
 from larklb.admission.tries import Course, End, Next
 from larklb.assignment.assignment import caller_key
+from larklb.gateway.request_work import Phase, RequestWork
 from larklb.gateway.servers import LEAST_MS, Message, Reply, Servers, passed_on
 from larklb.net.http import Link
 from larklb.schema.configuration import Configuration, Route, Tenant
@@ -98,6 +99,33 @@
         if not name or sum(n == b"x-attempt-id" for n, _ in head.headers) > 1:
             return refusal(400)
         due = min(began + route.timeout_ms, began + _time_left(headers) - MARGIN_MS)
+        work = RequestWork(self.wheel, self.count, route.route_type == "safe")
+        if link.reader.ended():
+            work.client_closed()
+        link.reader.on_end = work.client_closed
+        try:
+            return await self._worked(
+                state, route, tenant, head, headers, target, name, body, began, due, link, work
+            )
+        finally:
+            link.reader.on_end = None
+            work.over()
+
+    async def _worked(
+        self,
+        state: InForce,
+        route: Route,
+        tenant: Tenant | None,
+        head: h11.Request,
+        headers: dict[bytes, bytes],
+        target: bytes,
+        name: bytes,
+        body: bytes,
+        began: float,
+        due: float,
+        link: Link,
+        work: RequestWork,
+    ) -> Reply:
         if tenant is not None and not route.unkeyed and tenant.rate_per_s > 0:
             verdict = await self.quota(tenant)
             if verdict is not None and not verdict.allowed:
@@ -110,7 +138,7 @@
             caller = caller_key(
                 tenant.name if tenant is not None else "", route.name, finer.decode("latin-1")
             )
-        return await self._served(route, message, began, due, link, caller)
+        return await self._served(route, message, began, due, link, caller, work)
 
     def _tenant(
         self, state: InForce, route: Route, headers: dict[bytes, bytes]
@@ -142,7 +170,14 @@
     # Attempts -----------------------------------------------------------------------------
 
     async def _served(
-        self, route: Route, message: Message, began: float, due: float, link: Link, caller: int | None
+        self,
+        route: Route,
+        message: Message,
+        began: float,
+        due: float,
+        link: Link,
+        caller: int | None,
+        work: RequestWork,
     ) -> Reply:
         safe = route.route_type == "safe"
         course, tried = Course(safe, route.tries), set[str]()
@@ -160,7 +195,9 @@
             if place is None or course.costs() and not self.budget.may_repeat(now, place.target):
                 return self._own(course, last, due)
             tried.add(place.id)
+            work.phase = Phase.WAITING
             end, reply = await self._attempt(route, service, course, place, message, tried, due)
+            work.phase = Phase.CHOOSING
             step, otherwise = course.after(end)
             self.count[f"end.{end.value}"] += 1
             if step is Next.AGAIN:
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import importlib
 import logging
 import os
 import random
@@ -16,6 +17,7 @@
 from pathlib import Path
 from typing import Any
 
+import h11
 from attrs import evolve
 
 from larklb.admission.budget import Budget
@@ -26,24 +28,27 @@
 from larklb.balancing.estimates import Estimates
 from larklb.balancing.load import InFlight
 from larklb.consensus.errors import ConsensusError
+from larklb.gateway import options, status
 from larklb.gateway import settings as told
-from larklb.gateway import status
 from larklb.gateway.control import Control, OperatorOrder
 from larklb.gateway.control_plane import ControlPlane
 from larklb.gateway.core import Core
 from larklb.gateway.disk import DiskWriter
-from larklb.gateway.errors import GatewayError, SettingsError
+from larklb.gateway.errors import AddressError, GatewayError, SettingsError
 from larklb.gateway.front import Front, in_force
 from larklb.gateway.listener import Bounds, Listener
 from larklb.gateway.messages import AnyMessage, CallResult, CapacityReport, InFlightMessage, QuotaMessage
 from larklb.gateway.near_exchange import IN_FLIGHT_MS, NearExchange
+from larklb.gateway.options import Options
 from larklb.gateway.quota_exchange import QuotaExchange
 from larklb.gateway.servers import Reply, Servers
 from larklb.gateway.transport import Transport
 from larklb.membership.members import UP, Member
+from larklb.net.http import Link
 from larklb.registry import registry
 from larklb.registry.registry import Server
 from larklb.registry.subscriber import Subscriber
+from larklb.schema import calls
 from larklb.schema import configuration as schema
 from larklb.schema.errors import SchemaError
 from larklb.storage.errors import StorageError
@@ -66,15 +71,18 @@
 PATIENCE_MS = 5_000.0  # without any server known, until a limiter calls itself ready all the same
 UNREADY_MS = 2_300.0  # the platform needs so long to see that a limiter is not ready
 LAST_MS = 600.0  # of the grace, in which the process ends whatever is still in work
+LATE_TURNS_MS = (25, 100, 500)  # turns that come later than this after their time are counted
+METRICS_CONNECTIONS = 4
+METRICS_PATH = b"/metrics"
+DEFAULT_OPTIONS = Options()
 CONNECTIONS_PART = 0.8  # of a server's connections may be in use by all limiters together
 
 
 class Limiter:
     """One process."""
 
-    def __init__(self, settings: told.Settings, stay: bool = False) -> None:
-        """``stay``: callers stay put at their servers where a route doesn't say."""
-        self.settings = settings
+    def __init__(self, settings: told.Settings, chosen: Options = DEFAULT_OPTIONS) -> None:
+        self.settings, self.options = settings, chosen
         self.wheel = Wheel(TICK_MS)
         self.random = random.Random(os.urandom(8))
         now = self.wheel.now()
@@ -144,14 +152,16 @@
             self.quota_exchange.ask,
             self.random,
             self.count,
-            stay=stay,
+            stay=chosen.caller_affinity,
         )
         control = Control(self._server_call, self._operator_call, partial(status.document, self))
         self.edge = Listener(self.wheel, self.front.answer, int(sockets * FRONT_PART))
         self.control = Listener(self.wheel, control.answer, int(sockets * CONTROL_PART))
         self.readiness = Listener(self.wheel, self._ready, 16)
+        self.metrics = Listener(self.wheel, self._metrics, METRICS_CONNECTIONS)
         self.saturation: dict[str, int] = {}
         self.slow_at = -1e18
+        self.turn_due = now
         self.leaving = asyncio.Event()
         self.stamp = self._stamp()
 
@@ -180,12 +190,21 @@
         for door, address in ((self.readiness, s.readiness), (self.control, s.control), (self.edge, s.edge)):
             if address is not None:
                 await door.start(*address)
+        await self._start_metrics()
         log.info("gateway: %s listens.", s.node)
         self._turn()
         self._near()
         await self.leaving.wait()
         await self._leave()
 
+    async def _start_metrics(self) -> None:
+        if not self.options.metrics_port:
+            return
+        try:
+            await self.metrics.start(self.settings.ip, self.options.metrics_port)
+        except AddressError as error:  # requests don't depend on it
+            log.warning("gateway: no metrics: %s.", error)
+
     def _near(self) -> None:
         self.wheel.after(IN_FLIGHT_MS, self._near)
         if self.front.now is not None:
@@ -195,8 +214,10 @@
 
     def _turn(self) -> None:
         """What is done regularly; one turn that fails must not be the last."""
-        self.wheel.after(CORE_TURN_MS if self.core is not None else TURN_MS, self._turn)
-        now = self.wheel.now()
+        now, period = self.wheel.now(), CORE_TURN_MS if self.core is not None else TURN_MS
+        self._count_late(now)
+        self.turn_due = now + period
+        self.wheel.after(period, self._turn)
         self.plane.tick(now)
         self.quota_exchange.tick(now)
         if now - self.slow_at >= SLOW_TURN_MS:
@@ -206,6 +227,12 @@
             if self._stamp() != self.stamp:
                 self._settings_changed()
 
+    def _count_late(self, now: float) -> None:
+        """How long the event loop was held up; what waits in the sockets meanwhile is seen as late."""
+        for bound in LATE_TURNS_MS:
+            if now - self.turn_due > bound:
+                self.count[f"turn.late.{bound}ms"] += 1
+
     def _stamp(self) -> tuple[float, int]:
         try:
             stat = os.stat(self.settings.path)
@@ -340,6 +367,16 @@
             return Reply(404)
         return Reply(200 if self.ready() else 503)
 
+    async def _metrics(self, head: h11.Request, body: bytes, link: Link) -> Reply:
+        if head.target.partition(b"?")[0] != METRICS_PATH:
+            return Reply(404)
+        if head.method != b"GET":
+            return Reply(405)
+        # The library takes longer to import than a request may wait: the first scrape does so in a thread.
+        metrics = await asyncio.to_thread(importlib.import_module, "larklb.gateway.metrics")
+        told = status.document(self, calls.COUNTS, {})
+        return Reply(200, [metrics.CONTENT_TYPE], metrics.exposition(self.settings.node, told))
+
     async def _leave(self) -> None:
         """In order: told to all, no longer ready, all that was taken is finished, within the grace."""
         log.info("gateway: leaves.")
@@ -353,7 +390,7 @@
         self.edge.stop_listening()
         while self.wheel.now() < end and (self.edge.busy() or self.control.busy()):
             await self.wheel.sleep(20.0)
-        for door in (self.edge, self.control, self.readiness):
+        for door in (self.edge, self.control, self.readiness, self.metrics):
             await door.close()
         self.servers.close()
         await self.transport.stop()
@@ -376,23 +413,20 @@
 
 def main() -> int:
     """Runs a limiter by the settings file that LARKLB_SETTINGS names; 2 where that or its disk is no good."""
+    chosen = options.parse(sys.argv[1:])
     logging.basicConfig(level=os.environ.get("LARKLB_LOG", "INFO"), format="%(message)s")
     try:
         settings = told.read(os.environ.get("LARKLB_SETTINGS", "/etc/larklb/settings.toml"))
     except SettingsError as error:
         log.error("gateway: %s.", error)
         return 2
-    stay = sys.argv[1:] == ["--affinity", "caller"]
-    if not stay and sys.argv[1:] not in ([], ["--affinity", "none"]):
-        log.error("gateway: %s: only --affinity none or --affinity caller.", " ".join(sys.argv[1:]))
-        return 2
     gc.set_threshold(20_000, 20, 50)  # most of what a request makes is freed by its count alone
-    return asyncio.run(_serve(settings, stay))
+    return asyncio.run(_serve(settings, chosen))
 
 
-async def _serve(settings: told.Settings, stay: bool) -> int:
+async def _serve(settings: told.Settings, chosen: Options) -> int:
     try:
-        limiter = Limiter(settings, stay)
+        limiter = Limiter(settings, chosen)
     except (StorageError, ConsensusError, GatewayError) as error:
         log.error("gateway: %s: can't start with it: %s.", settings.data, error)
         return 2
