One table says who ends a request's work: a client's close ends it in each phase

Cause: a close was looked for once, before the first attempt; the deadline, a hedged loser and the end of the grace had a mechanism each. Ruled out: a late read, a server that is not told (counts of the sight before). Change: admission/cancellation.py has the table, gateway/request_work.py carries it out with one timer a request. Safe work is broken off, unsafe work that was sent goes on, nothing is sent or tried again after a close, also one behind unread bytes or that came with the request. Broken-off attempts blame no server, but their waits bound its speed from below. A quota no longer holds a request beyond its deadline. An orderly stop takes no connection after 2.3 s, ends what is left within the last sixth of any grace, and answers it.

--- a/larklb/admission/choice.py
+++ b/larklb/admission/choice.py
@@ -24,6 +24,9 @@
 COLD = 2.0  # times slower is a server that has just started
 SPEED_WEIGHT = 0.08  # of one answer in a server's speed
 SPEED_MOST = 6.0  # times the usual is as slow as one answer may look
+ABANDONED_SILENT = (
+    2.0  # times the slowest twentieth for which a server was silent that is held to have failed
+)
 OUT_MS = 400.0  # a server that failed rests for so long, twice as long after each more ...
 OUT_MOST_MS = 5_000.0  # ... up to this; then one request tries it
 SILENT_OUT_MS = 1_500.0  # ... and this is the first rest of one that said nothing
@@ -263,6 +266,20 @@
         if place.failures > 1 or silent:  # any server breaks off an answer now and then
             place.rests_until = now + min(OUT_MOST_MS, first * 2.0 ** (place.failures - 1))
 
+    def abandoned(self, now: float, place: Place, route: str, waited: float) -> None:
+        """A request there was broken off from here after ``waited`` ms without an answer.
+
+        Nobody knows how long it would have taken, but for that it took no less: a server that answers none of
+        those whose clients leave early must not look as quick as one that was never asked."""
+        usual = self.usual_of(route)
+        if waited > ABANDONED_SILENT * usual.late and place.answered < now - waited:
+            self.failed(now, place, True)
+            return
+        self.moot(place)
+        ratio = min(SPEED_MOST, waited / max(1.0, usual.mean))
+        if ratio > place.speed:
+            place.speed += SPEED_WEIGHT * (ratio - place.speed)
+
     def moot(self, place: Place) -> None:
         """A request there is over without telling anything of the server."""
         place.out -= 1
--- a/larklb/admission/tries.py
+++ b/larklb/admission/tries.py
@@ -20,6 +20,7 @@
     UNSENT = "unsent"  # no byte of it was written
     BROKEN = "broken"  # written, and no whole answer came: it may have run
     SILENT = "silent"  # the same, for want of time
+    ABANDONED = "abandoned"  # the same: it was broken off here, as nobody waits for it
 
 
 class Next(Enum):
@@ -40,6 +41,7 @@
     End.UNSENT: ((Next.AGAIN, Next.REFUSE), (Next.AGAIN, Next.REFUSE)),
     End.BROKEN: ((Next.AGAIN, Next.FAIL), (Next.FAIL, Next.FAIL)),
     End.SILENT: ((Next.AGAIN, Next.LATE), (Next.LATE, Next.LATE)),
+    End.ABANDONED: ((Next.FAIL, Next.FAIL), (Next.FAIL, Next.FAIL)),
 }
 
 MOST_UNSENT = 4  # attempts of one request that reach no server at all
--- a/larklb/balancing/choice.py
+++ b/larklb/balancing/choice.py
@@ -417,6 +417,21 @@
         else:
             Choice.failed(self, now, place, silent)
 
+    def abandoned(self, now: float, place: Place, route: str, waited: float) -> None:
+        """An attempt was broken off from here after ``waited`` ms: its service time is no less than that."""
+        seen, started = self.seen.get(place.id), now - waited
+        if seen is None:
+            Choice.moot(self, place)
+            return
+        overdue = now > self._overdue_at(seen, started, route) and started >= seen.passed
+        self._over(now, place, started)
+        if overdue:
+            Choice.failed(self, now, place, True)
+            return
+        Choice.moot(self, place)
+        if waited > self.norm(route).work() * self._factor(now, place, seen):
+            self._sample(now, place, seen, route, waited, None)
+
     def moot(self, place: Place) -> None:
         """An attempt ended that says nothing of the server."""
         self._over(self.clock, place, self.clock)
--- a/larklb/gateway/front.py
+++ b/larklb/gateway/front.py
@@ -9,16 +9,18 @@
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import h11
 from attrs import define, field
 
 from larklb.admission.budget import Budget
+from larklb.admission.cancellation import Cause
 from larklb.admission.choice import Choice, Place
 from larklb.admission.quota_records import Verdict
 from larklb.admission.tries import Course, End, Next
 from larklb.assignment.assignment import caller_key
-from larklb.gateway.request_work import Phase, RequestWork
+from larklb.gateway.request_work import RequestWork
 from larklb.gateway.servers import LEAST_MS, Message, Reply, Servers, passed_on
 from larklb.net.http import Link
 from larklb.schema.configuration import Configuration, Route, Tenant
@@ -38,6 +40,19 @@
 Quota = Callable[[Tenant], Awaitable[Verdict | None]]
 
 
+@define(frozen=True)
+class ClientRequest:
+    """One request that may be served; times are the wheel's ms."""
+
+    route: Route
+    tenant: Tenant | None
+    message: Message
+    began: float
+    due: float  # when its answer is of no use any more
+    limit: Cause  # whose time ends then
+    caller: int | None  # who stays at a server, where the route's callers do
+
+
 @define(frozen=True)
 class InForce:
     """A configuration as the data plane uses it."""
@@ -75,9 +90,30 @@
     now: InForce | None = None
     stay: bool = False  # callers stay put where a route doesn't say
     background: set[asyncio.Task[tuple[End, Reply | None]]] = field(factory=set)
+    works: set[RequestWork] = field(factory=set)
 
     async def answer(self, head: h11.Request, body: bytes, link: Link) -> Reply:
-        """The answer to one request of a client."""
+        """The answer to one request of a client; nothing is sent any more once the client has left."""
+        taken = self._taken(head, body)
+        if isinstance(taken, Reply):
+            return taken
+        work = RequestWork(
+            self.wheel, self.count, taken.route.route_type == "safe", taken.due, limit=taken.limit
+        )
+        self.works.add(work)
+        client_gone = partial(work.end, Cause.CLIENT_GONE)
+        link.reader.on_end = client_gone
+        if link.reader.ended():
+            client_gone()
+        try:
+            return await self._worked(taken, work)
+        finally:
+            link.reader.on_end = None
+            work.answered()
+            self.works.discard(work)
+
+    def _taken(self, head: h11.Request, body: bytes) -> ClientRequest | Reply:
+        """What a request asks for, or its answer where it can't be served."""
         began, state = self.wheel.now(), self.now
         self.count["taken"] += 1
         if state is None:
@@ -98,47 +134,38 @@
         name = headers.get(b"x-attempt-id", b"")
         if not name or sum(n == b"x-attempt-id" for n, _ in head.headers) > 1:
             return refusal(400)
-        due = min(began + route.timeout_ms, began + _time_left(headers) - MARGIN_MS)
-        work = RequestWork(self.wheel, self.count, route.route_type == "safe")
-        if link.reader.ended():
-            work.client_closed()
-        link.reader.on_end = work.client_closed
-        try:
-            return await self._worked(
-                state, route, tenant, head, headers, target, name, body, began, due, link, work
-            )
-        finally:
-            link.reader.on_end = None
-            work.over()
-
-    async def _worked(
-        self,
-        state: InForce,
-        route: Route,
-        tenant: Tenant | None,
-        head: h11.Request,
-        headers: dict[bytes, bytes],
-        target: bytes,
-        name: bytes,
-        body: bytes,
-        began: float,
-        due: float,
-        link: Link,
-        work: RequestWork,
-    ) -> Reply:
-        if tenant is not None and not route.unkeyed and tenant.rate_per_s > 0:
-            verdict = await self.quota(tenant)
-            if verdict is not None and not verdict.allowed:
-                self.count["refused.quota"] += 1
-                return refusal(429, self._again(due, max(AGAIN_MS, verdict.retry_after_ms)))
-        message = self._message(state, head, target, name, body, tenant)
+        given, allowed = _time_left(headers) - MARGIN_MS, route.timeout_ms
         caller = None
         if route.affinity == "caller" or route.affinity is None and self.stay:
             finer = headers.get(route.affinity_header.lower().encode(), b"") if route.affinity_header else b""
             caller = caller_key(
                 tenant.name if tenant is not None else "", route.name, finer.decode("latin-1")
             )
-        return await self._served(route, message, began, due, link, caller, work)
+        return ClientRequest(
+            route,
+            tenant,
+            self._message(state, head, target, name, body, tenant),
+            began,
+            began + min(given, allowed),
+            Cause.DEADLINE if given <= allowed else Cause.ROUTE_TIMEOUT,
+            caller,
+        )
+
+    async def _worked(self, taken: ClientRequest, work: RequestWork) -> Reply:
+        tenant = taken.tenant
+        if work.wanted and tenant is not None and not taken.route.unkeyed and tenant.rate_per_s > 0:
+            verdict = await work.unless_ended(self.quota(tenant))
+            if work.wanted and verdict is not None and not verdict.allowed:
+                self.count["refused.quota"] += 1
+                return refusal(429, self._again(taken.due, max(AGAIN_MS, verdict.retry_after_ms)))
+        # A close that came with the request is read in the loop's next turn, and before anything is sent.
+        await asyncio.sleep(0)
+        return await self._served(taken, work)
+
+    def shut_down(self) -> None:
+        """The grace of an orderly stop is used up: each request that is left has its answer now."""
+        for work in tuple(self.works):
+            work.end(Cause.SHUTDOWN)
 
     def _tenant(
         self, state: InForce, route: Route, headers: dict[bytes, bytes]
@@ -169,35 +196,23 @@
 
     # Attempts -----------------------------------------------------------------------------
 
-    async def _served(
-        self,
-        route: Route,
-        message: Message,
-        began: float,
-        due: float,
-        link: Link,
-        caller: int | None,
-        work: RequestWork,
-    ) -> Reply:
-        safe = route.route_type == "safe"
-        course, tried = Course(safe, route.tries), set[str]()
+    async def _served(self, taken: ClientRequest, work: RequestWork) -> Reply:
+        route, due, caller = taken.route, taken.due, taken.caller
+        course, tried = Course(work.safe, route.tries), set[str]()
         service = service_of(route, self.random.random())
-        self.budget.first(began, service)
+        self.budget.first(taken.began, service)
         last = Next.REFUSE
         while True:
             now = self.wheel.now()
             if now >= due - LEAST_MS:
                 return self._own(course, Next.LATE if course.may_have_run else Next.REFUSE, due)
-            if link.reader.ended() and not course.sent:
-                self.count["client_gone"] += 1
-                return Reply(502, close=True)
+            if work.abandoned:
+                return self._ended(course, due)
             place = self._pick(now, route, service, tried, caller)
             if place is None or course.costs() and not self.budget.may_repeat(now, place.target):
                 return self._own(course, last, due)
             tried.add(place.id)
-            work.phase = Phase.WAITING
-            end, reply = await self._attempt(route, service, course, place, message, tried, due)
-            work.phase = Phase.CHOOSING
+            end, reply = await self._attempt(taken, service, course, place, tried, work)
             step, otherwise = course.after(end)
             self.count[f"end.{end.value}"] += 1
             if step is Next.AGAIN:
@@ -207,6 +222,7 @@
                     and reply is not None
                     and (
                         self.wheel.now() >= due - LEAST_MS
+                        or not work.wanted
                         or not self.budget.peek(self.wheel.now(), service)
                         or self._pick(self.wheel.now(), route, service, tried) is None
                     )
@@ -218,7 +234,13 @@
             if step is Next.PASS and reply is not None:
                 self.count["passed"] += 1
                 return reply
-            return self._own(course, step, due)
+            return self._ended(course, due) if work.abandoned else self._own(course, step, due)
+
+    def _ended(self, course: Course, due: float) -> Reply:
+        """Nothing is sent any more: an answer for whoever may still read it, and the connection's end."""
+        reply = self._own(course, Next.FAIL if course.may_have_run else Next.REFUSE, due)
+        reply.close = True
+        return reply
 
     def _pick(
         self, now: float, route: Route, service: str, tried: set[str], caller: int | None = None
@@ -232,17 +254,17 @@
 
     async def _attempt(
         self,
-        route: Route,
+        taken: ClientRequest,
         service: str,
         course: Course,
         place: Place,
-        message: Message,
         tried: set[str],
-        due: float,
+        work: RequestWork,
     ) -> tuple[End, Reply | None]:
         """One attempt; a safe request that waits for longer than nearly all is sent to a second server
         too."""
-        first = self.servers.attempt(place, route.name, message, course.safe, due)
+        route, message, due = taken.route, taken.message, taken.due
+        first = self.servers.attempt(place, route.name, message, work)
         aim = route.setpoint_ms
         patience = max(HEDGE_AIM * aim, HEDGE_LATE * self.choice.usual_of(route.name).late)
         now = self.wheel.now()
@@ -250,7 +272,7 @@
             return await first
         tasks = {self._task(first)}
         done, _ = await asyncio.wait(tasks, timeout=patience / 1000.0)
-        if not done:
+        if not done and work.wanted:
             now = self.wheel.now()
             other = self.choice.pick(now, service, route.name, aim, tried)
             if other is not None and self.budget.may_repeat(now, service):
@@ -258,14 +280,15 @@
                 tried.add(other.id)
                 course.sent += 1
                 course.may_have_run = True
-                tasks.add(self._task(self.servers.attempt(other, route.name, message, True, due)))
+                tasks.add(self._task(self.servers.attempt(other, route.name, message, work)))
         ended: tuple[End, Reply | None] = (End.SILENT, None)
         while tasks:
             done, tasks = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 ended = task.result()
                 if ended[0] is End.ANSWER:
-                    return ended  # the other one goes on to its end: its server is at work on it
+                    work.end_others()
+                    return ended
         return ended
 
     def _task(self, attempt: Awaitable[tuple[End, Reply | None]]) -> asyncio.Task[tuple[End, Reply | None]]:
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -70,7 +70,9 @@
 YOUNG_SLOTS = 10  # ... may have so many requests in hand at one server
 PATIENCE_MS = 5_000.0  # without any server known, until a limiter calls itself ready all the same
 UNREADY_MS = 2_300.0  # the platform needs so long to see that a limiter is not ready
-LAST_MS = 600.0  # of the grace, in which the process ends whatever is still in work
+LAST_MS = 600.0  # of the grace, in which the process ends whatever is still in work ...
+LAST_PART = 0.12  # ... but no more than this part: what is cut off before the last sixth is held to be lost
+ANSWERS_MS = 100.0  # for the answers to what was ended so to leave
 LATE_TURNS_MS = (25, 100, 500)  # turns that come later than this after their time are counted
 METRICS_CONNECTIONS = 4
 METRICS_PATH = b"/metrics"
@@ -383,13 +385,15 @@
         now, grace = self.wheel.now(), self.settings.bounds.grace
         self.plane.leave(now)
         self.edge.leave()
-        end = now + max(0.0, grace - LAST_MS)
+        end = now + grace - min(LAST_MS, grace * LAST_PART)
         await self.wheel.sleep(min(UNREADY_MS, grace * 0.4))
-        while self.wheel.now() < end and self.edge.busy():
-            await self.wheel.sleep(50.0)
+        # What is taken later might not be finished within the grace.
         self.edge.stop_listening()
         while self.wheel.now() < end and (self.edge.busy() or self.control.busy()):
             await self.wheel.sleep(20.0)
+        if self.edge.busy():
+            self.front.shut_down()
+            await self.wheel.sleep(ANSWERS_MS)
         for door in (self.edge, self.control, self.readiness, self.metrics):
             await door.close()
         self.servers.close()
--- a/larklb/gateway/servers.py
+++ b/larklb/gateway/servers.py
@@ -16,8 +16,9 @@
 
 from larklb.admission.choice import Choice, Place
 from larklb.admission.tries import End
+from larklb.gateway.request_work import Attempt, RequestWork
 from larklb.net.http import LateError, Link, TooLongError, dial, finished
-from larklb.wheel import Timer, Wheel
+from larklb.wheel import Wheel
 
 MOST_ANSWER = 32 * 1024 * 1024  # bytes of an answer that are held
 IDLE_MS = 4_000.0  # a connection that rests is closed after so long, where the server tells no time
@@ -84,24 +85,6 @@
     ]
 
 
-class _Attempt:
-    """Ends the connection of an attempt when its time is over."""
-
-    __slots__ = ("link", "dialling", "late")
-
-    def __init__(self) -> None:
-        self.link: Link | None = None
-        self.dialling: asyncio.Future[Link] | None = None
-        self.late = False
-
-    def stop(self) -> None:
-        self.late = True
-        if self.dialling is not None:
-            self.dialling.cancel()
-        if self.link is not None:
-            self.link.abort()
-
-
 class Servers:
     """All connections to servers."""
 
@@ -179,7 +162,7 @@
         self._drop(name, self.pools[name][0][0])
         return True
 
-    async def _dial(self, place: Place, within: float, attempt: _Attempt) -> Link | None:
+    async def _dial(self, place: Place, within: float, attempt: Attempt) -> Link | None:
         if not self._make_room():
             self.count["no_descriptor"] += 1
             return None
@@ -199,45 +182,43 @@
     # Attempts -----------------------------------------------------------------------------
 
     async def attempt(
-        self, place: Place, route: str, message: Message, safe: bool, due: float
+        self, place: Place, route: str, message: Message, work: RequestWork
     ) -> tuple[End, Reply | None]:
-        """Sends a request to a server; how it ended by ``due`` (the wheel's ms), and the answer, if any."""
-        started = self.wheel.now()
+        """Sends a request to a server; how that ended, and the answer, if any."""
+        if not work.wanted:
+            return End.UNSENT, None
         self.choice.began(place)
-        attempt = _Attempt()
-        timer = self.wheel.after(due - started, attempt.stop)
+        attempt = work.attempted()
         try:
-            return await self._tried(place, route, message, safe, due, attempt, timer)
+            return await self._tried(place, route, message, work, attempt)
         except BaseException:
             self.choice.moot(place)
             raise
         finally:
-            timer.cancel()
+            work.attempt_over(attempt)
 
     async def _tried(
-        self,
-        place: Place,
-        route: str,
-        message: Message,
-        safe: bool,
-        due: float,
-        attempt: _Attempt,
-        timer: Timer,
+        self, place: Place, route: str, message: Message, work: RequestWork, attempt: Attempt
     ) -> tuple[End, Reply | None]:
         choice, started = self.choice, self.wheel.now()
-        link = self._pooled(place.id, safe)
+        link = self._pooled(place.id, work.safe)
         if link is None:
             near = choice.regions.get(place.zone) == choice.regions.get(choice.zone)
-            link = await self._dial(place, min(due - started, DIAL_NEAR_MS if near else DIAL_FAR_MS), attempt)
+            within = min(work.due - started, DIAL_NEAR_MS if near else DIAL_FAR_MS)
+            link = await self._dial(place, within, attempt)
             if link is None:
-                choice.failed(self.wheel.now(), place, True)
+                if attempt.ended_by is None or attempt.out_of_time:
+                    choice.failed(self.wheel.now(), place, True)
+                else:
+                    choice.moot(place)
                 return End.UNSENT, None
         now = self.wheel.now()
-        left = due - now
+        left = work.due - now
         # A dial takes time: the server may have begun to leave meanwhile.
-        if attempt.late or left < LEAST_MS or place.draining or choice.of.get(place.id) is not place:
+        gone = place.draining or choice.of.get(place.id) is not place
+        if attempt.ended_by is not None or left < LEAST_MS or gone:
             choice.moot(place)
-            self._keep(place.id, link, None) if not attempt.late else self._end(link)
+            self._end(link)
             return End.UNSENT, None
         attempt.link = link
         head = h11.Request(
@@ -260,15 +241,28 @@
         now = self.wheel.now()
         if answer is None:
             self._end(link)
-            choice.failed(now, place, attempt.late)
-            return (End.SILENT if attempt.late else End.BROKEN), None
+            return self._unanswered(now, place, route, now - started, attempt), None
         names = [value for name, value in answer.headers if name == b"x-attempt-id"]
         proof = bool(names) or link not in self.unnamed
         if not names:
             self.unnamed.add(link)
-        self._keep(place.id, link, answer)
+        if attempt.ended_by is None:
+            self._keep(place.id, link, answer)
+        else:
+            self._end(link)  # its end crossed the answer
         return self._read(now, place, route, now - started, message, answer, body, proof)
 
+    def _unanswered(self, now: float, place: Place, route: str, waited: float, attempt: Attempt) -> End:
+        """What an attempt without an answer tells of its server, and how it ended."""
+        if attempt.ended_by is None:
+            self.choice.failed(now, place, False)
+            return End.BROKEN
+        if attempt.out_of_time:
+            self.choice.failed(now, place, True)
+            return End.SILENT
+        self.choice.abandoned(now, place, route, waited)
+        return End.ABANDONED
+
     async def _answer(
         self, link: Link, head: h11.Request, message: Message
     ) -> tuple[h11.Response | None, bytes]:
