The test of abandoned attempts is typed

Change: names of one loop no longer share a variable of two types; ends are sorted by time alone. Measured: mypy finds nothing, the file's 28 cases pass.

--- a/tests/test_request_cancellation.py
+++ b/tests/test_request_cancellation.py
@@ -272,19 +272,19 @@
     chosen, ends = [], list[tuple[float, float, Place, bool]]()
     for n in range(400):
         now = 1_000.0 + 30.0 * n
-        for entry in sorted(e for e in ends if e[0] <= now):
+        for entry in sorted((e for e in ends if e[0] <= now), key=lambda e: e[0]):
             ends.remove(entry)
-            at, took, place, left = entry
+            at, took, server, left = entry
             if left:
-                choice.abandoned(at, place, "r", took)
+                choice.abandoned(at, server, "r", took)
             else:
-                choice.answered(at, place, "r", took, True)
+                choice.answered(at, server, "r", took, True)
         place = choice.pick(now, "t", "r", 600.0)
         assert place is not None
         choice.began(place)
         chosen.append(place.id)
         took = min(patience, work[place.id])
-        ends.append((now + took, took + n * 1e-9, place, work[place.id] > patience))
+        ends.append((now + took, took, place, work[place.id] > patience))
     return chosen[200:]
 
 
