The loser of a hedged request is broken off by the same table

Cause: an attempt that nobody waits for went on to its end, under tasks of its own that no table knew. Change: other_answered breaks off what is safe.

--- a/larklb/admission/cancellation.py
+++ b/larklb/admission/cancellation.py
@@ -45,7 +45,7 @@
     Cause.CLIENT_GONE: (Action.BREAK_OFF, Action.FINISH),
     Cause.DEADLINE: (Action.BREAK_OFF, Action.BREAK_OFF),
     Cause.ROUTE_TIMEOUT: (Action.BREAK_OFF, Action.BREAK_OFF),
-    Cause.OTHER_ANSWERED: (Action.FINISH, Action.FINISH),
+    Cause.OTHER_ANSWERED: (Action.BREAK_OFF, Action.FINISH),
     Cause.SHUTDOWN: (Action.BREAK_OFF, Action.BREAK_OFF),
 }
 
