--- a/larklb/lab/system_servers.py
+++ b/larklb/lab/system_servers.py
@@ -6,6 +6,7 @@
 import json
 import random
 from collections import Counter
+from collections.abc import Coroutine
 from contextlib import suppress
 
 from attrs import define, field
@@ -16,6 +17,7 @@
 
 SLOTS, QUEUE = 8, 8        # of a server
 WORK_S = (0.015, 0.06)
+Answer = tuple[int, dict[str, str], bytes]             # status, headers, body
 
 
 @define(eq=False)
@@ -49,7 +51,10 @@
             while True:
                 first, headers = await read_head(reader)
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                status, more, told = await self._answer(first.split()[1], headers, body)
+                answer = await self._unless_closed(reader, self._answer(first.split()[1], headers, body))
+                if answer is None:
+                    break
+                status, more, told = answer
                 if self.draining:
                     more["Connection"] = "close"
                 lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(told)}",
@@ -61,8 +66,24 @@
                     break
         writer.close()
 
+    async def _unless_closed(self, reader: asyncio.StreamReader,
+                             answering: Coroutine[None, None, Answer]) -> Answer | None:
+        """The answer; None where its connection closed first, which ends the work on it."""
+        answer, closed = asyncio.ensure_future(answering), asyncio.ensure_future(reader.read(1))
+        try:
+            await asyncio.wait((answer, closed), return_when=asyncio.FIRST_COMPLETED)
+            return answer.result() if answer.done() else None
+        finally:
+            answer.cancel()
+            closed.cancel()
+            await asyncio.gather(answer, closed, return_exceptions=True)
+
+    async def work(self, path: str) -> None:
+        """What a request takes."""
+        await asyncio.sleep(self.chance.uniform(*WORK_S))
+
     async def _answer(self, path: str, headers: dict[str, str],
-                      body: bytes) -> tuple[int, dict[str, str], bytes]:
+                      body: bytes) -> Answer:
         now = asyncio.get_running_loop().time()
         if path == "/up":
             return 503 if self.draining else 200, {}, b""
@@ -78,14 +99,17 @@
             self.turned_away += 1
             return 503, {"X-Not-Run": "1", **same}, b""
         self.waiting += 1
-        async with self.slots:
+        try:
+            await self.slots.acquire()
+        finally:
             self.waiting -= 1
-            self.running += 1
-            self.runs[path] += 1
-            try:
-                await asyncio.sleep(self.chance.uniform(*WORK_S))
-            finally:
-                self.running -= 1
+        self.running += 1
+        self.runs[path] += 1
+        try:
+            await self.work(path)
+        finally:
+            self.running -= 1
+            self.slots.release()
         seal = digest({"id": self.id, "attempt": headers["x-attempt-id"]})[:16]
         return 200, {"X-Server-Seal": seal, **same}, f"{path} for {headers.get('x-tenant', '')}".encode()
 
