--- a/larklb/lab/soak.py
+++ b/larklb/lab/soak.py
@@ -39,11 +39,11 @@
 from larklb.lab.system_network import CONFIGURATION, CORES, GRACE_S, LIMITERS, TrialError
 from larklb.schema import calls
 
-GONE_S = 0.5               # after its client has left, in which a request's work must have ended ...
-SLACK_S = 0.35             # ... on a machine that does much else
-NEAR_S = 0.4               # a cut so shortly round a kill is that kill's
+GONE_S = 0.5  # after its client has left, in which a request's work must have ended ...
+SLACK_S = 0.35  # ... on a machine that does much else
+NEAR_S = 0.4  # a cut so shortly round a kill is that kill's
 CLIENTS = 14
-DOWN_S = (0.2, 1.0)        # between a process's end and its next start
+DOWN_S = (0.2, 1.0)  # between a process's end and its next start
 SECONDS = 8.0
 Step = Callable[[random.Random], Awaitable[None]]
 
@@ -63,7 +63,7 @@
     seed: int
     counts: Counter[str]
     broken: list[Broken] = field(factory=list)
-    logs: str = ""             # where they are kept, if anything broke
+    logs: str = ""  # where they are kept, if anything broke
 
 
 class Soak(Trial):
@@ -72,14 +72,18 @@
     def __init__(self, folder: Path, seconds: float, seed: int) -> None:
         super().__init__(folder, seconds, True)
         self.seed, self.chance = seed, random.Random(seed)
-        self.soaked = [SoakServer(s.id, s.service, s.zone, s.ip, s.port, s.controls, random.Random(seed + k))
-                       for k, s in enumerate(self.servers)]
+        self.soaked = [
+            SoakServer(s.id, s.service, s.zone, s.ip, s.port, s.controls, random.Random(seed + k))
+            for k, s in enumerate(self.servers)
+        ]
         self.servers = list(self.soaked)
-        self.kept = [KeptClient(f"c{n}", self.net, random.Random(seed * 1_000 + n), self._target)
-                     for n in range(CLIENTS)]
+        self.kept = [
+            KeptClient(f"c{n}", self.net, random.Random(seed * 1_000 + n), self._target)
+            for n in range(CLIENTS)
+        ]
         self.kills: list[tuple[int, float]] = []
         self.restarting: set[int] = set()
-        self.core_free = asyncio.Lock()        # no more core machines at once than may be lost
+        self.core_free = asyncio.Lock()  # no more core machines at once than may be lost
         self.version = int(CONFIGURATION["version"])
         self.counts: Counter[str] = Counter()
         self.broken: list[Broken] = []
@@ -100,8 +104,9 @@
         if not await self.until("all limiters are ready", START_S, self.there):
             raise TrialError("they never got ready")
         until = asyncio.get_running_loop().time() + self.seconds
-        await asyncio.gather(*(client.live(until) for client in self.kept),
-                             *(series for series in self._series(until)))
+        await asyncio.gather(
+            *(client.live(until) for client in self.kept), *(series for series in self._series(until))
+        )
         self.clients.killed = {}
         await asyncio.sleep(GONE_S + SLACK_S)
         self.broken += self._judged()
@@ -182,8 +187,11 @@
     async def _amend(self, chance: random.Random) -> None:
         route = {**CONFIGURATION["hosts"][0]["paths"][1], "timeoutMs": chance.randrange(3_500, 4_500)}
         base, self.version = self.version, self.version + chance.randrange(1, 4)
-        await self.change(calls.AMEND, base, {
-            "version": self.version, "upsert": {"hosts": [{"host": "shop.example", "paths": [route]}]}})
+        await self.change(
+            calls.AMEND,
+            base,
+            {"version": self.version, "upsert": {"hosts": [{"host": "shop.example", "paths": [route]}]}},
+        )
         self.counts["amended"] += 1
 
     # What must hold -----------------------------------------------------------------------
@@ -193,8 +201,9 @@
 
     def _killed(self, asked: Asked, at: float) -> bool:
         """Whether its limiter was killed between its sending and ``at``, or nearly so."""
-        return any(i == asked.limiter and asked.sent - NEAR_S <= when <= at + NEAR_S
-                   for i, when in self.kills)
+        return any(
+            i == asked.limiter and asked.sent - NEAR_S <= when <= at + NEAR_S for i, when in self.kills
+        )
 
     def _judged(self) -> Iterator[Broken]:
         for client in self.kept:
@@ -207,8 +216,10 @@
             yield Broken("twice", asked.path)
         if asked.status in PROMISES and runs:
             yield Broken("promise", f"{asked.path}: {asked.status}")
-        if asked.status == 200 and (not any(run.whole for run in runs)
-                                    or asked.body.decode("utf-8", "replace") != f"{asked.path} for yard"):
+        if asked.status == 200 and (
+            not any(run.whole for run in runs)
+            or asked.body.decode("utf-8", "replace") != f"{asked.path} for yard"
+        ):
             yield Broken("wrong", asked.path)
         if asked.cut is not None and runs and not self._killed(asked, asked.cut):
             yield Broken("lost", f"{asked.path} at limiter-{asked.limiter}")
@@ -252,15 +263,34 @@
 
 def _alone(seed: int, seconds: float) -> str:
     """One seed in a process of its own: its line of JSON."""
-    done = subprocess.run([sys.executable, "-m", "larklb.lab.soak", "--first", str(seed), "--seeds", "1",
-                           "--seconds", str(seconds)], capture_output=True, text=True)
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "larklb.lab.soak",
+            "--first",
+            str(seed),
+            "--seeds",
+            "1",
+            "--seconds",
+            str(seconds),
+        ],
+        capture_output=True,
+        text=True,
+    )
     return done.stdout.strip() or json.dumps({"seed": seed, "broken": [["fault", done.stderr[-400:]]]})
 
 
 def line(result: Result) -> str:
     """A seed's result as a line of JSON."""
-    return json.dumps({"seed": result.seed, "broken": [[b.rule, b.what] for b in result.broken],
-                       "logs": result.logs, **dict(sorted(result.counts.items()))})
+    return json.dumps(
+        {
+            "seed": result.seed,
+            "broken": [[b.rule, b.what] for b in result.broken],
+            "logs": result.logs,
+            **dict(sorted(result.counts.items())),
+        }
+    )
 
 
 def main() -> int:
--- a/larklb/lab/soak_clients.py
+++ b/larklb/lab/soak_clients.py
@@ -16,10 +16,10 @@
 from larklb.lab.system_servers import StandIn
 from larklb.lab.yard import read_head
 
-LONG_PART, LONG_S = 0.25, (0.3, 1.4)   # of the work is long
+LONG_PART, LONG_S = 0.25, (0.3, 1.4)  # of the work is long
 LEAVE_PART, LEAVE_S = 0.2, (0.0, 0.5)  # of the requests lose their client after so long
 UNSAFE_PART = 0.4
-PAUSE_S = 0.03                         # between two requests of a client, and before it comes again
+PAUSE_S = 0.03  # between two requests of a client, and before it comes again
 PATIENCE_S = 4.0
 KEY = CONFIGURATION["tenants"][0]["keys"][0]
 
@@ -41,25 +41,28 @@
     safe: bool
     limiter: int
     sent: float
-    status: int = 0            # 0: no answer
+    status: int = 0  # 0: no answer
     body: bytes = b""
     left: float | None = None  # when its client closed, without an answer
-    cut: float | None = None   # when its connection ended without one, though its client stayed
+    cut: float | None = None  # when its connection ended without one, though its client stayed
 
 
 @define(eq=False)
 class SoakServer(StandIn):
     """A server that works for long at times, and keeps when each run began and ended."""
 
-    done: dict[str, list[Run]] = field(factory=dict)       # by path
+    done: dict[str, list[Run]] = field(factory=dict)  # by path
 
     async def work(self, path: str) -> None:
         clock = asyncio.get_running_loop().time
         run = Run(clock())
         self.done.setdefault(path, []).append(run)
         try:
-            await asyncio.sleep(self.chance.uniform(*LONG_S) if self.chance.random() < LONG_PART
-                                else self.chance.uniform(0.01, 0.06))
+            await asyncio.sleep(
+                self.chance.uniform(*LONG_S)
+                if self.chance.random() < LONG_PART
+                else self.chance.uniform(0.01, 0.06)
+            )
             run.whole = True
         finally:
             run.ended = clock()
@@ -104,9 +107,11 @@
         asked = Asked(path, safe, limiter, clock())
         self.asked.append(asked)
         method, length = ("GET", "") if safe else ("POST", "Content-Length: 2\r\n")
-        writer.write(f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {path[1:]}\r\n"
-                     f"X-Time-Left: {PATIENCE_S * 1000:.0f}\r\nAuthorization: Bearer {KEY}\r\n{length}\r\n"
-                     f"{'' if safe else '{}'}".encode())
+        writer.write(
+            f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {path[1:]}\r\n"
+            f"X-Time-Left: {PATIENCE_S * 1000:.0f}\r\nAuthorization: Bearer {KEY}\r\n{length}\r\n"
+            f"{'' if safe else '{}'}".encode()
+        )
         leaves = self.chance.random() < LEAVE_PART
         patience = self.chance.uniform(*LEAVE_S) if leaves else PATIENCE_S + 1.0
         try:
@@ -117,7 +122,7 @@
         except TimeoutError:
             asked.left = clock()
             if leaves and self.chance.random() < 0.5:
-                writer.close()         # a FIN; else a reset
+                writer.close()  # a FIN; else a reset
                 await asyncio.sleep(0)
             return False
         except (OSError, EOFError, asyncio.LimitOverrunError):
--- a/tests/test_gateway_metrics.py
+++ b/tests/test_gateway_metrics.py
@@ -39,7 +39,7 @@
     async def go() -> None:
         port = free_port()
         limiter = limiter_with(tmp_path, port)
-        limiter.count["client_closed.waiting.safe"] += 3
+        limiter.count["ended.client_gone.waiting.safe.break_off"] += 3
         limiter.turn_due = limiter.wheel.now() - 200.0
         await limiter._start_metrics()
         limiter._turn()
@@ -47,7 +47,7 @@
         samples: dict[str, Any] = {
             sample.labels.get("event", sample.name): sample.value
             for family in text_string_to_metric_families(text) for sample in family.samples}
-        assert status == 200 and samples["client_closed.waiting.safe"] == 3
+        assert status == 200 and samples["ended.client_gone.waiting.safe.break_off"] == 3
         assert samples["turn.late.100ms"] == 1 and "turn.late.500ms" not in samples
         assert samples["larklb_configuration_version"] == 0
         assert (await scrape(port, "/"))[0] == 404
