--- a/review/common.py
+++ b/review/common.py
@@ -346,7 +346,7 @@
             return answer_bytes(400, {"X-Not-Run": "1"}, b"")
         self.arrivals.append((time.monotonic(), attempt, peer))
         self.record(f"server {self.id} runs {attempt}: {first} (from {peer})")
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self.work_s * random.uniform(0.5, 1.5))
         extra = {"Connection": "close"} if self.leaving else {}
         seal = {"X-Server-Seal": f"seal-{attempt}", "X-Attempt-Id": attempt}
         return answer_bytes(200, seal | extra, f"{self.id} {attempt}".encode())
