--- a/review/common.py
+++ b/review/common.py
@@ -458,7 +458,7 @@
                     for log in sorted(deployment.folder.glob("log-*.txt")):
                         lines = log.read_text("utf-8", "replace").splitlines()
                         for line in lines[-40:]:
-                            record(f"{log.stem}: {line}")
+                            record(f"{log.stem}: {line.replace(scratch, '').replace(str(ROOT), '')}")
         record.say("the rule held" if held else "the rule is BROKEN")
         return 0 if held else 1
 
