--- a/review/rig2.py
+++ b/review/rig2.py
@@ -310,6 +310,8 @@
 
     async def run():
         rig = Rig(folder)
+        # A stopped script ends what it has started, too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             rig.record(f"TROUBLE={int(TROUBLE)}")
             held = await case(rig)
