--- a/review/rig2.py
+++ b/review/rig2.py
@@ -226,14 +226,16 @@
 
 
 class Server:
-    """A stand-in server: slots, a queue, beats; it logs each request that arrives and runs."""
+    """A stand-in server: slots, a queue, beats, a bound on connections; it logs each request that it runs."""
+
+    SATURATION, IDLE_S = 130, 10  # connections from all callers together, and how long one may be idle
 
     def __init__(self, rig, number, service, work_s=0.02, slots=16):
         self.rig, self.service, self.work_s, self.slots = rig, service, work_s, slots
         self.id, self.ip, self.port = f"i-{service}-{number}", rig.ip(100 + number), rig.base + 8
         self.zone, self.busy, self.sequence = ZONES[number % 3], 0, 0
         self.arrivals = []  # (time, tenant, X-Attempt-Id) of each request that it has run
-        self.server, self.report_to = None, None
+        self.server, self.report_to, self.connections = None, None, 0
 
     async def start(self):
         """Listens."""
@@ -245,17 +247,22 @@
             self.server.close()
 
     async def _serve(self, reader, writer):
+        self.connections += 1
         try:
+            if self.connections > self.SATURATION:
+                return
             while True:
-                first, headers, body = await read_message(reader)
+                first, headers, body = await asyncio.wait_for(read_message(reader), self.IDLE_S)
                 status, extra, answer = await self._answer(first, headers, body)
                 lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(answer)}",
-                         f"X-Load: {self.busy},0,{self.slots}", f"X-Instance-Id: {self.id}", *extra]
+                         f"Keep-Alive: timeout={self.IDLE_S}", f"X-Load: {self.busy},0,{self.slots}",
+                         f"X-Instance-Id: {self.id}", *extra]
                 writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + answer)
                 await writer.drain()
         except (EOFError, OSError, ValueError, asyncio.LimitOverrunError, asyncio.CancelledError):
-            pass
+            pass  # closed, idle for too long, or ended
         finally:
+            self.connections -= 1
             writer.transport.abort()
 
     async def _answer(self, first, headers, body):
