Log and count who decides on a tenant's requests, by which ring

Change: lines on the ring, on changes of owner and, once a window for tenants that are refused, on the decisions by basis; counters quota.BASIS.RESULT; gauges of the ring's size and digest. The exchange takes a clock and a callback, so that a simulation can run it. No decision changes.

--- a/larklb/admission/quotas.py
+++ b/larklb/admission/quotas.py
@@ -34,6 +34,7 @@
 from typing import Any, Final, TypeVar
 
 from larklb.admission.errors import InvalidMessageError
+from larklb.admission.quota_log import MAX_LINES, QuotaLog, TenantState
 from larklb.admission.quota_messages import MAX_NUMBER, read_integer, read_number, read_text
 from larklb.admission.quota_records import (
     HELLO_BACKOFF_MS,
@@ -143,6 +144,7 @@
         self._last_ask_number = 0
         self._config_version = 0
         self._allowances: dict[str, Allowance] = {}
+        self._log = QuotaLog(self._bound.window_s * 1000.0)
 
     def set_limiters(self, now: float, numbers: dict[int, str], own_number: int | None) -> None:
         """Replace the ring: the nodes of the live limiters by ring number.
@@ -160,6 +162,7 @@
             n: at for n, at in self._departed.items() if n not in numbers and now - at <= RESERVATION_MS
         }
         changed = ring != self._ring or own_number != self._own_number
+        former_owners = {tenant: self._owner_node(tenant) for tenant in self._log.tallies} if changed else {}
         for number in set(numbers) - set(self._nodes):
             # A new incarnation: what was recorded of the previous one says nothing about it.
             self._peers.pop(number, None)
@@ -178,6 +181,34 @@
                     owned.ownership_lost = True
                     # The bucket is more accurate than the bucket copy of any asker.
                     self._copy_to_slice(now, tenant, owned)
+            self._log_changes(now, former_owners)
+
+    def _log_changes(self, now: float, former_owners: dict[str, str]) -> None:
+        """Log the new ring, and the tenants with recent requests that have another owner by it."""
+        self._log.ring_changed(self.ring_digest, len(self._ring), len(self._departed), self._own_number)
+        moved = [tenant for tenant, node in former_owners.items() if node != self._owner_node(tenant)]
+        for tenant in moved[:MAX_LINES]:
+            self._log.owner_changed(now, tenant, self._tenant_state(now, tenant))
+
+    def record_decision(self, now: float, tenant: str, decision: QuotaDecision) -> None:
+        """Record the decision on a request that a client sent to this limiter, for the log."""
+        self._log.record(now, tenant, decision.decided_by, decision.allowed)
+
+    def write_log(self, now: float) -> None:
+        """Log what was decided here on overloaded tenants; to be called about once a second."""
+        for tenant in self._log.due(now):
+            self._log.write(now, tenant, self._tenant_state(now, tenant))
+
+    def _tenant_state(self, now: float, tenant: str) -> TenantState:
+        owned = self._owned.get(tenant)
+        if owned is None or self._owner(tenant) != self._own_number:
+            return TenantState(self._owner_node(tenant), self.ring_digest)
+        self._refresh(now, owned)
+        return TenantState(self._owner_node(tenant), self.ring_digest, owned.bucket.tokens, owned.bucket.part)
+
+    def _owner_node(self, tenant: str) -> str:
+        owner = self._owner(tenant)
+        return self._nodes[owner] if owner is not None else ""
 
     def set_allowances(self, now: float, version: int, allowances: dict[str, Allowance]) -> None:
         """Apply the configured allowances by tenant; a version older than the present one is ignored."""
@@ -260,7 +291,7 @@
                 self._release_confirmed(read_text(message, "t"), number)
                 return None
             if kind == "hi":
-                if read_integer(message, "ring") == self._ring_digest() and number in self._nodes:
+                if read_integer(message, "ring") == self.ring_digest and number in self._nodes:
                     self._record_ring_agreement(now, number)
                 return None
             if kind != "verdict":
@@ -331,7 +362,7 @@
         """
         messages: list[tuple[int, dict[str, Any]]] = []
         if any(owned.recently_moved and not owned.ownership_lost for owned in self._owned.values()):
-            ring = self._ring_digest()
+            ring = self.ring_digest
             for number in self._ring:
                 if (
                     number == self._own_number
@@ -463,7 +494,14 @@
             owner = self._owners[tenant] = ring_owner(digest(tenant), self._ring)
         return owner
 
-    def _ring_digest(self) -> int:
+    @property
+    def ring_size(self) -> int:
+        """Number of limiters on the ring."""
+        return len(self._ring)
+
+    @property
+    def ring_digest(self) -> int:
+        """A number that is the same at limiters with the same ring."""
         return digest(" ".join(map(str, self._ring))) >> 16
 
     def _record_ring_agreement(self, now: float, number: int) -> None:
@@ -563,7 +601,7 @@
             return (
                 None
                 if self._own_number is None or not ring
-                else {"k": "hi", "n": self._own_number, "ring": self._ring_digest()}
+                else {"k": "hi", "n": self._own_number, "ring": self.ring_digest}
             )
         number, tenant = read_integer(message, "n"), read_text(message, "t")
         incarnation, spent, acknowledged = (
--- a/larklb/gateway/metrics.py
+++ b/larklb/gateway/metrics.py
@@ -22,6 +22,8 @@
     ("larklb_leaving", "1 if the limiter is ending in order.", "leaving", 1.0),
     ("larklb_uptime_seconds", "Time since the limiter's start.", "upMs", 1e-3),
     ("larklb_configuration_version", "Version of the configuration in force, 0 for none.", "version", 1.0),
+    ("larklb_ring_limiters", "Limiters on the ring that finds the owners of tenants.", "ringLimiters", 1.0),
+    ("larklb_ring_digest", "The same at limiters that hold the same ring.", "ringDigest", 1.0),
 )
 
 # Answers to the status call ``counts``, by node.
@@ -42,7 +44,11 @@
     """Yields the metrics of limiters from their answers, each sample labelled with its ``node``."""
     for name, text, key, scale in GAUGES:
         yield gauge(
-            name, text, ("node",), [((node,), answer[key] * scale) for node, answer in answers.items()]
+            name,
+            text,
+            ("node",),
+            # Limiters of an earlier version lack some keys.
+            [((node,), answer[key] * scale) for node, answer in answers.items() if key in answer],
         )
     events = CounterMetricFamily(
         "larklb_events", "Requests and what became of them, by event.", labels=("node", "event")
--- a/larklb/gateway/quota_exchange.py
+++ b/larklb/gateway/quota_exchange.py
@@ -8,32 +8,64 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable, Mapping
-from typing import Any
+from typing import Any, Protocol
+
+from attrs import define
 
 from larklb.admission.quota_records import Allowance, Ask, QuotaDecision
 from larklb.admission.quotas import Quotas
 from larklb.gateway.messages import Message, QuotaMessage
 from larklb.schema.configuration import Tenant
-from larklb.wheel import Timer, Wheel
 
 # Time between the periodic messages, which release unused slices and ask others to confirm the ring.
 MESSAGE_INTERVAL_MS = 300.0
+# Time between checks whether a log line is due.
+LOG_INTERVAL_MS = 1_000.0
 # Kinds of messages to an owner; all other kinds are replies.
 REQUEST_KINDS = frozenset(("ask", "back", "hello"))
 
 
+Done = Callable[[QuotaDecision], object]
+
+
+class Cancellable(Protocol):
+    """A timer."""
+
+    def cancel(self) -> None:
+        """Prevents the timer from running."""
+
+
+class Clock(Protocol):
+    """The time in ms, and timers."""
+
+    def now(self) -> float:
+        """Returns the time in ms."""
+
+    def after(self, delay: float, callback: Callable[..., object], *args: Any) -> Cancellable:
+        """Calls ``callback`` with ``args`` after ``delay`` ms."""
+
+
+@define
+class PendingDecision:
+    """A client's request that awaits the owner's reply; ``done`` is called once with the decision."""
+
+    tenant: str
+    done: Done
+    timer: Cancellable
+
+
 class QuotaExchange:
     """The quota exchange of one limiter; ``send`` sends a message to an address."""
 
     def __init__(
-        self, quotas: Quotas, wheel: Wheel, send: Callable[[str, Message], object], count: Counter[str]
+        self, quotas: Quotas, clock: Clock, send: Callable[[str, Message], object], count: Counter[str]
     ) -> None:
-        self.quotas, self.wheel, self.send, self.count = quotas, wheel, send, count
+        self.quotas, self.clock, self.send, self.count = quotas, clock, send, count
         # Addresses of limiters by ring number.
         self.addresses: dict[int, str] = {}
-        # Asks that await a reply, with their timeouts, by the number of the ask.
-        self.pending: dict[int, tuple[asyncio.Future[QuotaDecision], Timer]] = {}
-        self.last_messages = -1e18
+        # Requests that await a reply, by the number of the ask.
+        self.pending: dict[int, PendingDecision] = {}
+        self.last_messages = self.last_log = -1e18
 
     def set_members(
         self, now: float, nodes: dict[int, str], addresses: Mapping[int, str], local_number: int
@@ -45,18 +77,31 @@
 
     async def request_decision(self, tenant: Tenant) -> QuotaDecision | None:
         """Returns the decision on one request of a tenant, after asking the owner if necessary."""
-        now = self.wheel.now()
-        request = self.quotas.request(now, Allowance(tenant.name, tenant.rate_per_s, tenant.burst))
-        if not isinstance(request, Ask):
-            return request
         future: asyncio.Future[QuotaDecision] = asyncio.get_running_loop().create_future()
-        timer = self.wheel.after(request.deadline - now, self._time_out, request.number)
-        self.pending[request.number] = (future, timer)
-        self._send(request.owner, request.message)
+
+        def done(decision: QuotaDecision) -> None:
+            if not future.done():
+                future.set_result(decision)
+
+        self.start_request(Allowance(tenant.name, tenant.rate_per_s, tenant.burst), done)
         return await future
 
+    def start_request(self, allowance: Allowance, done: Done) -> None:
+        """Starts the decision on one request of a tenant; ``done`` is called once with it."""
+        now = self.clock.now()
+        request = self.quotas.request(now, allowance)
+        if not isinstance(request, Ask):
+            self._finish(now, allowance.tenant, request, done)
+            return
+        timer = self.clock.after(request.deadline - now, self._time_out, request.number)
+        self.pending[request.number] = PendingDecision(allowance.tenant, done, timer)
+        self._send(request.owner, request.message)
+
     def tick(self, now: float) -> None:
-        """Sends the periodic messages when they are due; called at each tick."""
+        """Sends the periodic messages and writes the log when they are due; called at each tick."""
+        if now - self.last_log >= LOG_INTERVAL_MS:
+            self.last_log = now
+            self.quotas.write_log(now)
         if now - self.last_messages < MESSAGE_INTERVAL_MS:
             return
         self.last_messages = now
@@ -69,7 +114,7 @@
             if (answer := self.quotas.handle_request(now, sender, message.message)) is not None:
                 self.send(message.address, QuotaMessage(message=answer))
         elif (decided := self.quotas.handle_reply(now, message.message)) is not None:
-            self._decide(*decided)
+            self._decide(now, *decided)
 
     def _send(self, number: int, message: dict[str, Any]) -> None:
         if (address := self.addresses.get(number)) is not None:
@@ -77,13 +122,17 @@
 
     def _time_out(self, number: int) -> None:
         self.count["quota.given_up"] += 1
-        self._decide(number, self.quotas.handle_timeout(self.wheel.now(), number))
+        now = self.clock.now()
+        self._decide(now, number, self.quotas.handle_timeout(now, number))
 
-    def _decide(self, number: int, decision: QuotaDecision) -> None:
-        """Ends the wait of ``request_decision`` for the ask with this number."""
+    def _decide(self, now: float, number: int, decision: QuotaDecision) -> None:
+        """Ends the wait of the request whose ask has this number."""
         if (pending := self.pending.pop(number, None)) is None:
             return
-        future, timer = pending
-        timer.cancel()
-        if not future.done():
-            future.set_result(decision)
+        pending.timer.cancel()
+        self._finish(now, pending.tenant, decision, pending.done)
+
+    def _finish(self, now: float, tenant: str, decision: QuotaDecision, done: Done) -> None:
+        self.count[f"quota.{decision.decided_by}.{'allowed' if decision.allowed else 'refused'}"] += 1
+        self.quotas.record_decision(now, tenant, decision)
+        done(decision)
--- a/larklb/gateway/status.py
+++ b/larklb/gateway/status.py
@@ -170,6 +170,8 @@
             "control": len(limiter.control.connections),
             "servers": limiter.server_connections.open_connections,
         },
+        "ringLimiters": limiter.quotas.ring_size,
+        "ringDigest": limiter.quotas.ring_digest,
     }
 
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,6 +9,7 @@
 
 import heapq
 import itertools
+import logging
 import random
 from bisect import bisect_left
 from collections.abc import Callable
@@ -95,6 +96,7 @@
         self.requests += 1
         result = limiter.request(self.now, self.allowance)
         if isinstance(result, QuotaDecision):
+            limiter.record_decision(self.now, self.allowance.tenant, result)
             return self.record_decision(result)
         self.asks.append((self.now, i))
         self.schedule(result.deadline, lambda: self.time_out(i, result))
@@ -312,6 +314,25 @@
     assert not limiter.rows(0.0) and limiter.handle_request(0.0, 1, message) is not None
 
 
+def test_the_log_tells_ring_owner_and_basis_of_decisions(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO, "quota")
+    net = QuotaNetwork(ALLOWANCES[0], 1)
+    net.add_load(0, 6000, ALLOWANCES[0].rate * 3)
+    net.run(5500)
+    limiter = net.limiters[net.owner]
+    assert limiter is not None
+    assert "ring" in caplog.text and "of 12 limiters, 0 left recently, own number 3." in caplog.text
+    limiter.write_log(net.now)
+    owner_line = caplog.messages[-1]
+    assert "tenant huka270: in 5." in owner_line and "owner allowed" in owner_line
+    assert f"owner n{net.owner}" in owner_line and "at 1.00 of the rate" in owner_line
+    net.run(6000)
+    rest = {i: n for i, n in net.numbers.items() if i != net.owner}
+    limiter.set_limiters(net.now, rest, None)
+    assert "ring" in caplog.messages[-2] and "of 11 limiters" in caplog.messages[-2]
+    assert "tenant huka270: owner n" in caplog.messages[-1] and "before, in 0." in caplog.messages[-1]
+
+
 # Injected faults, which the checks above must detect.
 
 
