--- a/tests/test_system_cli.py
+++ b/tests/test_system_cli.py
@@ -303,10 +303,11 @@
     out, err = capsys.readouterr()
     families = {family.name: family for family in text_string_to_metric_families(out)}
     assert set(families) == {f"larklb_{name}" for name in (
-        "members up ready leaving uptime_seconds configuration_version events words "
-        "word_bytes ring_limiters ring_digest open_connections servers servers_silent quota_tokens quota_rate "
-        "quota_burst quota_apart quota_untold core_leader core_settled core_voters core_term core_log_last core_log_commit "
-        "core_version core_saving core_serves").split()}, "dashboards depend on these metric names"
+        "members up ready leaving uptime_seconds configuration_version events words word_bytes "
+        "ring_limiters ring_digest open_connections servers servers_silent quota_tokens quota_rate "
+        "quota_burst quota_apart quota_untold core_leader core_settled core_voters core_term "
+        "core_log_last core_log_commit core_version core_saving core_serves").split()}, \
+        "dashboards depend on these metric names"
     assert "n2: 127.0.0.1" in err and all(family.documentation for family in families.values())
     found = {(s.name.removeprefix("larklb_"), *(value for _, value in sorted(s.labels.items()))): s.value
              for family in families.values() for s in family.samples}
