--- a/larklb/admission/quotas.py
+++ b/larklb/admission/quotas.py
@@ -162,7 +162,7 @@
             n: at for n, at in self._departed.items() if n not in numbers and now - at <= RESERVATION_MS
         }
         changed = ring != self._ring or own_number != self._own_number
-        former_owners = {tenant: self._owner_node(tenant) for tenant in self._log.tallies} if changed else {}
+        former_owners = {tenant: self.owner_node(tenant) for tenant in self._log.tallies} if changed else {}
         for number in set(numbers) - set(self._nodes):
             # A new incarnation: what was recorded of the previous one says nothing about it.
             self._peers.pop(number, None)
@@ -186,7 +186,7 @@
     def _log_changes(self, now: float, former_owners: dict[str, str]) -> None:
         """Log the new ring, and the tenants with recent requests that have another owner by it."""
         self._log.ring_changed(self.ring_digest, len(self._ring), len(self._departed), self._own_number)
-        moved = [tenant for tenant, node in former_owners.items() if node != self._owner_node(tenant)]
+        moved = [tenant for tenant, node in former_owners.items() if node != self.owner_node(tenant)]
         for tenant in moved[:MAX_LINES]:
             self._log.owner_changed(now, tenant, self._tenant_state(now, tenant))
 
@@ -202,11 +202,12 @@
     def _tenant_state(self, now: float, tenant: str) -> TenantState:
         owned = self._owned.get(tenant)
         if owned is None or self._owner(tenant) != self._own_number:
-            return TenantState(self._owner_node(tenant), self.ring_digest)
+            return TenantState(self.owner_node(tenant), self.ring_digest)
         self._refresh(now, owned)
-        return TenantState(self._owner_node(tenant), self.ring_digest, owned.bucket.tokens, owned.bucket.part)
+        return TenantState(self.owner_node(tenant), self.ring_digest, owned.bucket.tokens, owned.bucket.part)
 
-    def _owner_node(self, tenant: str) -> str:
+    def owner_node(self, tenant: str) -> str:
+        """Return the node of the limiter that owns a tenant by this limiter's ring, "" if that is unknown."""
         owner = self._owner(tenant)
         return self._nodes[owner] if owner is not None else ""
 
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -305,10 +305,7 @@
         now = self.wheel.now()
         match message:
             case QuotaMessage():
-                sender = self.subscriber.members.get(message.sender)
-                self.quota_exchange.handle_message(
-                    now, message, sender.ring_number if sender is not None else -1
-                )
+                self.quota_exchange.handle_message(now, message, self.subscriber.members)
             case InFlightMessage() | CapacityReport():
                 self.zone_exchange.handle_message(now, message)
             case _:
@@ -354,9 +351,7 @@
         now = self.wheel.now()
         local_member = self.subscriber.local_member
         members = self.subscriber.members.values()
-        numbers = self.subscriber.nodes_by_ring_number()
-        addresses = {number: self.subscriber.members[node].ip for number, node in numbers.items()}
-        self.quota_exchange.set_members(now, numbers, addresses, local_member.ring_number)
+        self.quota_exchange.update_members(now, self.subscriber)
         self.zone_exchange.set_peers(
             [
                 m.ip
--- a/larklb/gateway/quota_exchange.py
+++ b/larklb/gateway/quota_exchange.py
@@ -15,6 +15,8 @@
 from larklb.admission.quota_records import Allowance, Ask, QuotaDecision
 from larklb.admission.quotas import Quotas
 from larklb.gateway.messages import Message, QuotaMessage
+from larklb.membership.members import Member
+from larklb.registry.subscriber import Subscriber
 from larklb.schema.configuration import Tenant
 
 # Time between the periodic messages, which release unused slices and ask others to confirm the ring.
@@ -67,12 +69,11 @@
         self.pending: dict[int, PendingDecision] = {}
         self.last_messages = self.last_log = -1e18
 
-    def set_members(
-        self, now: float, nodes: dict[int, str], addresses: Mapping[int, str], local_number: int
-    ) -> None:
-        """Sets the nodes and addresses by ring number; ``local_number`` is this limiter's, or -1 if it has
-        none yet."""
-        self.addresses = dict(addresses)
+    def update_members(self, now: float, subscriber: Subscriber) -> None:
+        """Takes over the ring from the local view of the limiters."""
+        nodes = subscriber.nodes_by_ring_number()
+        self.addresses = {number: subscriber.members[node].ip for number, node in nodes.items()}
+        local_number = subscriber.local_member.ring_number
         self.quotas.set_limiters(now, nodes, local_number if local_number >= 0 else None)
 
     async def request_decision(self, tenant: Tenant) -> QuotaDecision | None:
@@ -108,8 +109,9 @@
         for number, message in self.quotas.pending_messages(now):
             self._send(number, message)
 
-    def handle_message(self, now: float, message: QuotaMessage, sender: int) -> None:
-        """Handles a message of the limiter with the ring number ``sender``, -1 if that isn't known."""
+    def handle_message(self, now: float, message: QuotaMessage, members: Mapping[str, Member]) -> None:
+        """Handles a message of another limiter; ``members`` are the known limiters by node."""
+        sender = members[message.sender].ring_number if message.sender in members else -1
         if message.message["k"] in REQUEST_KINDS:
             if (answer := self.quotas.handle_request(now, sender, message.message)) is not None:
                 self.send(message.address, QuotaMessage(message=answer))
--- a/larklb/lab/control_world.py
+++ b/larklb/lab/control_world.py
@@ -327,9 +327,14 @@
         if machine.frozen:
             machine.buffered.append(lambda: self._deliver(sender, receiver, line))
             return
-        machine.plane.handle_message(self.now, messages.decode(line))  # type: ignore[arg-type]
+        self.handle_message(machine, messages.decode(line))
         self._check_single_leader(machine)
 
+    def handle_message(self, machine: Machine, message: messages.AnyMessage) -> None:
+        """Lets the machine's process handle a message; subclasses handle those of other parts."""
+        assert machine.plane is not None
+        machine.plane.handle_message(self.now, message)  # type: ignore[arg-type]
+
     def call(self, machine: Machine, action: Callable[[ControlPlane], object]) -> None:
         """Delivers a caller's request to the machine.
 
