An owner uses only the shares that the other limiters lease to it

Cause: ownership had no end of its own. A limiter that had lost touch kept its last ring and the whole rate, unless limiters that had asked it fell silent; its successor had the whole rate too. The class: a holder without a lease, whose successor can't know what it still does. Change: each limiter leases its share of a tenant's quota to the limiter that owns it by its own ring, to one at a time, on request (hello, hi) or by asking; an owner uses its own share and those leased to it, for 1,000 ms from the request. Tokens of shares that aren't leased wait in a pool and come back with the lease, unless another owner had the share meanwhile; up to a quarter of the burst may be used before. An owner that loses a tenant releases the leases (free). A process that restarted grants nothing for as long as a lease. Older limiters answer a request with their ring, which counts as before. It needs no core: a core without a majority costs nothing while limiters reach each other. The test of full bursts after each change of owner: leases alone keep that bound now, which it shows; the fault must be found once they are taken out too.

--- a/larklb/admission/quota_records.py
+++ b/larklb/admission/quota_records.py
@@ -7,6 +7,7 @@
 
 from attrs import define, field
 
+from larklb.admission.share_leases import HeldShares
 from larklb.quota.breaker import CircuitBreaker
 from larklb.quota.bucket import TokenBucket
 
@@ -26,8 +27,6 @@
 SILENCE_MIN_MS = 200.0
 # Upper bound of that time, longer than an idle asker takes to release its slice.
 SILENCE_MAX_MS = 2000.0
-# Time until a hello is repeated to a limiter that has not confirmed the ring; doubled with each repetition.
-HELLO_BACKOFF_MS = 200.0
 # Fraction of its slice of the rate that a limiter may use without a valid bucket copy.
 NO_COPY_RATE_FRACTION = 0.1
 # Fraction of ``OvershootBound.slack`` that the slices may use; the rest covers events that are noticed late.
@@ -156,6 +155,8 @@
     reserved: bool = False
     # Tokens that the reserved slice may have held at ``last_heard_at``.
     reserved_tokens: float = 0.0
+    # Until then another owner holds the asker's share.
+    held_until: float = -math.inf
 
     def silence_timeout(self) -> float:
         """Return the time in milliseconds without an ask after which the asker counts as silent."""
@@ -166,6 +167,7 @@
 class OwnedBucket:
     """A tenant's token bucket at its owner, with the limiters that ask for the tenant."""
 
+    tenant: str
     bucket: TokenBucket
     last_used_at: float
     # The bucket may have had another owner shortly before, which some limiters may still ask.
@@ -175,13 +177,15 @@
     askers: dict[int, Asker] = field(factory=dict)
     # Before this time no asker becomes silent and ``bucket.part`` doesn't change.
     next_check_at: float = -math.inf
-    # Number of limiters whose slices are reserved in this bucket.
-    reserved_slices: int = 0
+    # The shares of the quota that the bucket contains, and those that it lacks.
+    shares: HeldShares = field(factory=HeldShares)
+    # Before this time no further lease is requested.
+    next_request_at: float = -math.inf
 
 
 @define
 class OwnerPeer:
-    """What is known of another limiter: its round-trip time (estimated as in RFC 6298) and its ring."""
+    """What is known of another limiter: its round-trip time (estimated as in RFC 6298)."""
 
     breaker: CircuitBreaker = field(factory=CircuitBreaker)
     # Smoothed round-trip time and its variation in milliseconds; a negative variation means no measurement
@@ -189,10 +193,6 @@
     srtt: float = 0.0
     rttvar: float = -1.0
     last_used_at: float = -math.inf
-    # The peer has confirmed that it has the same ring and knows of this limiter.
-    ring_agreed: bool = False
-    next_hello_at: float = -math.inf
-    hello_backoff_ms: float = HELLO_BACKOFF_MS
 
     def record_round_trip(self, rtt_ms: float) -> None:
         """Record a measured round-trip time."""
--- a/larklb/admission/quotas.py
+++ b/larklb/admission/quotas.py
@@ -15,15 +15,15 @@
 the rate.  When the asker is heard again, the owner adds what the slice has not used to its bucket.  An asker
 that merely has no more requests releases its slice by a message (``pending_messages``).
 
-Limiters that leave the ring may be on the other side of a partition, where another limiter owns the tenant.
-Their part of rate and burst is reserved for ``RESERVATION_MS``.  A new or restarted owner also reserves the
-part of each limiter that has neither asked it nor confirmed its ring (``hello``), as such a limiter may still
-ask the previous owner or decide by its slice.  A limiter without a valid bucket copy may have no account at
-the owner, so it admits little (``NO_COPY_RATE_FRACTION``).
+An owner uses only the shares of limiters that regard it as the owner: of those that ask it, and of those
+that have leased it their share on request (``share_leases``).  An owner that is cut off thus has only its own
+share left, while its successor has those of the others.  The part of limiters that left the ring is reserved
+for ``RESERVATION_MS``.  A limiter without a valid bucket copy may have no account at the owner, so it admits
+little (``NO_COPY_RATE_FRACTION``).
 
 In the worst case this admits, in excess of a single bucket, the slices of limiters that have become silent
 until that is noticed (``SILENCE_*``), ``NO_COPY_RATE_FRACTION`` of the rate, one token for each limiter, and
-``MOVED_BURST_FRACTION`` of the burst for each change of owner.
+``UNLEASED_BURST_FRACTION`` of the burst for each owner.
 """
 
 from __future__ import annotations
@@ -35,10 +35,18 @@
 
 from larklb.admission.errors import InvalidMessageError
 from larklb.admission.quota_log import MAX_LINES, QuotaLog, TenantState
-from larklb.admission.quota_messages import MAX_NUMBER, read_integer, read_number, read_text
+from larklb.admission.quota_messages import (
+    MAX_LEASE_TENANTS,
+    MAX_NUMBER,
+    read_integer,
+    read_leases,
+    read_number,
+    read_tenants,
+    read_text,
+)
 from larklb.admission.quota_records import (
-    HELLO_BACKOFF_MS,
     MAX_TIMEOUT_MS,
+    NO_COPY_RATE_FRACTION,
     RELEASE_BACKOFF_MS,
     SILENCE_MAX_MS,
     SILENCE_MIN_MS,
@@ -53,6 +61,15 @@
     QuotaDecision,
     Slice,
 )
+from larklb.admission.share_leases import (
+    LEASE_DURATION_MS,
+    LOW_BURST_FRACTION,
+    RENEWAL_FRACTION,
+    REQUEST_BACKOFF_MS,
+    LeaseRequest,
+    ShareGrants,
+    unleased_tokens,
+)
 from larklb.quota.breaker import CircuitBreaker
 from larklb.quota.bucket import TokenBucket
 from larklb.quota.ring import digest, ring_owner
@@ -91,7 +108,8 @@
 # Asks may lower the tokens of such a bucket to those of the asker's bucket copy for this long, during which
 # the bucket counts as recently moved.
 NEW_BUCKET_MS = 1000.0
-MAX_HELLO_BACKOFF_MS = 4000.0
+# Tenants for which lease requests may be due at the same time.
+MAX_DUE_TENANTS = 1_000
 # Initial tokens of all limiters without a bucket copy together.
 NO_COPY_TOKENS = 10.0
 # Number of limiters assumed while the ring is unknown.
@@ -115,7 +133,14 @@
     """
 
     def __init__(
-        self, node: str, now: float, seed: int, *, first_start: bool, bound: OvershootBound | None = None
+        self,
+        node: str,
+        now: float,
+        seed: int,
+        *,
+        first_start: bool,
+        bound: OvershootBound | None = None,
+        lease_duration_ms: float = LEASE_DURATION_MS,
     ) -> None:
         """Create the state at the time ``now``.
 
@@ -145,6 +170,12 @@
         self._config_version = 0
         self._allowances: dict[str, Allowance] = {}
         self._log = QuotaLog(self._bound.window_s * 1000.0)
+        self._grants = ShareGrants.at_start(now, lease_duration_ms, first_start=first_start)
+        # Owned tenants that need more shares, and messages that release leases, each with its receiver.
+        self._lease_due: set[str] = set()
+        self._releases: list[tuple[int, dict[str, Any]]] = []
+        # When a message of any other limiter last arrived.
+        self._last_heard_at = now
 
     def set_limiters(self, now: float, numbers: dict[int, str], own_number: int | None) -> None:
         """Replace the ring: the nodes of the live limiters by ring number.
@@ -169,20 +200,25 @@
         self._nodes, self._ring, self._own_number = dict(numbers), ring, own_number
         if changed:
             self._owners.clear()
-            for peer in self._peers.values():
-                peer.ring_agreed, peer.next_hello_at, peer.hello_backoff_ms = (
-                    False,
-                    -math.inf,
-                    HELLO_BACKOFF_MS,
-                )
+            lost: dict[int, list[str]] = {}
             for tenant, owned in self._owned.items():
-                owned.next_check_at = -math.inf
+                owned.next_check_at = owned.next_request_at = -math.inf
                 if not owned.ownership_lost and self._owner(tenant) != own_number:
                     owned.ownership_lost = True
                     # The bucket is more accurate than the bucket copy of any asker.
                     self._copy_to_slice(now, tenant, owned)
+                    for number in {*owned.shares.clear(), *owned.askers}:
+                        lost.setdefault(number, []).append(tenant)
+            self._release_leases(lost)
             self._log_changes(now, former_owners)
 
+    def _release_leases(self, lost: dict[int, list[str]]) -> None:
+        """Tell limiters whose shares this limiter used that it doesn't own these tenants any more."""
+        for number, tenants in lost.items():
+            for start in range(0, len(tenants), MAX_LEASE_TENANTS):
+                part = tenants[start : start + MAX_LEASE_TENANTS]
+                self._releases.append((number, {"k": "free", "t": part}))
+
     def _log_changes(self, now: float, former_owners: dict[str, str]) -> None:
         """Log the new ring, and the tenants with recent requests that have another owner by it."""
         self._log.ring_changed(self.ring_digest, len(self._ring), len(self._departed), self._own_number)
@@ -259,6 +295,9 @@
             "spent": tenant_slice.spent,
             "heard": tenant_slice.acknowledged,
         }
+        held_for = self._grants.grant(now, tenant, owner)
+        if held_for > -RESERVATION_MS:
+            message["held"] = held_for
         age = now - tenant_slice.copied_at
         if age <= SLICE_VALID_MS:
             tenant_slice.fill(now, self._limiter_count())
@@ -291,9 +330,9 @@
             if kind == "backed":
                 self._release_confirmed(read_text(message, "t"), number)
                 return None
+            self._last_heard_at = now
             if kind == "hi":
-                if read_integer(message, "ring") == self.ring_digest and number in self._nodes:
-                    self._record_ring_agreement(now, number)
+                self._handle_leases(now, number, message)
                 return None
             if kind != "verdict":
                 raise InvalidMessageError("not a reply")
@@ -354,28 +393,13 @@
         return self._decide_by_slice(now, self._slice(now, ask.allowance))
 
     def pending_messages(self, now: float) -> list[tuple[int, dict[str, Any]]]:
-        """Return the messages that are due, each with the ring number of its receiver.
+        """Return the messages that release unused slices, each with the ring number of its receiver.
 
-        They release unused slices and, if this limiter is a new owner, ask the others to confirm its ring.
         To be called a few times a second; the replies go to ``handle_reply``.  Messages may be lost and are
         repeated until they are answered.  Without them owners would reserve the slices of idle askers and
         refuse requests of tenants whose load is near their rate.
         """
         messages: list[tuple[int, dict[str, Any]]] = []
-        if any(owned.recently_moved and not owned.ownership_lost for owned in self._owned.values()):
-            ring = self.ring_digest
-            for number in self._ring:
-                if (
-                    number == self._own_number
-                    or (peer := self._peer(now, number)).ring_agreed
-                    or now < peer.next_hello_at
-                ):
-                    continue
-                peer.next_hello_at, peer.hello_backoff_ms = (
-                    now + peer.hello_backoff_ms,
-                    min(MAX_HELLO_BACKOFF_MS, 2.0 * peer.hello_backoff_ms),
-                )
-                messages.append((number, {"k": "hello", "ring": ring}))
         for tenant, tenant_slice in self._slices.items():
             if len(messages) >= MAX_MESSAGES:
                 break
@@ -410,6 +434,32 @@
             )
         return messages
 
+    def lease_messages(self, now: float) -> list[tuple[int, dict[str, Any]]]:
+        """Return the messages that request or release leases, each with the ring number of its receiver.
+
+        To be called after each request, message and change of the ring; the replies go to ``handle_reply``.
+        """
+        messages, self._releases = self._releases, []
+        due: dict[int, list[str]] = {}
+        for tenant in self._lease_due:
+            owned = self._owned.get(tenant)
+            if owned is None or owned.ownership_lost:
+                continue
+            recent = now - RENEWAL_FRACTION * self._grants.duration_ms
+            asking = {
+                n for n, asker in owned.askers.items() if asker.reserved or asker.last_heard_at > recent
+            }
+            others = (n for n in self._ring if n != self._own_number and n not in asking)
+            for number in owned.shares.due_requests(now, others, self._grants.duration_ms):
+                due.setdefault(number, []).append(tenant)
+        self._lease_due.clear()
+        for number, tenants in due.items():
+            for start in range(0, len(tenants), MAX_LEASE_TENANTS):
+                part = tenants[start : start + MAX_LEASE_TENANTS]
+                request = {"k": "hello", "ring": self.ring_digest, "t": part}
+                messages.append((number, request | {"life": self._incarnation, "at": now}))
+        return messages
+
     def expire(self, now: float) -> None:
         """Drop idle buckets, slices out of use, asks that will not be answered, and peers out of the ring.
 
@@ -430,7 +480,7 @@
                 del self._owned[tenant]
             elif idle > RESTART_MS and not any(asker.reserved for asker in owned.askers.values()):
                 self._refresh(now, owned)
-                if owned.bucket.fill(now) >= owned.bucket.burst * owned.bucket.part - 1e-6:
+                if owned.bucket.tokens + owned.shares.pool >= owned.bucket.burst * self._ring_part() - 1e-6:
                     # The bucket is full, as a new one would be.
                     del self._owned[tenant]
         for tenant, tenant_slice in list(self._slices.items()):
@@ -439,6 +489,7 @@
                 tenant_slice.rate, 1e-6
             ):
                 del self._slices[tenant]
+        self._grants.expire(now)
         for number, peer in list(self._peers.items()):
             if number not in self._nodes and now - peer.last_used_at > RESERVATION_MS:
                 del self._peers[number]
@@ -458,7 +509,7 @@
                     "tokens": round(owned.bucket.tokens, 3),
                     "rate": owned.bucket.rate,
                     "burst": owned.bucket.burst,
-                    "apart": owned.reserved_slices,
+                    "apart": self._limiter_count() - len(owned.shares.used),
                     "askers": len(owned.askers),
                 }
             )
@@ -505,15 +556,6 @@
         """A number that is the same at limiters with the same ring."""
         return digest(" ".join(map(str, self._ring))) >> 16
 
-    def _record_ring_agreement(self, now: float, number: int) -> None:
-        """Record that a limiter has confirmed the ring: a new owner need not reserve its part any more."""
-        peer = self._peer(now, number)
-        peer.breaker = CircuitBreaker()
-        if not peer.ring_agreed:
-            peer.ring_agreed = True
-            for owned in self._owned.values():
-                owned.next_check_at = -math.inf
-
     def _peer(self, now: float, number: int) -> OwnerPeer:
         peer = self._peers.get(number)
         if peer is None:
@@ -585,11 +627,11 @@
     def _answer(self, now: float, sender: int, message: dict[str, Any]) -> dict[str, Any] | None:
         """Apply a message of another limiter to the bucket and to the sender's account; return the reply.
 
-        A "hello" changes no account; the reply tells this limiter's ring.  A "back" releases the sender's
-        slice: the usage that it reports is deducted from the bucket and the sender's account is closed, so
-        that the slice isn't reserved later.  An "ask" reports usage in the same way and then takes one token
-        from the bucket.  The reply carries the remaining tokens.  They are stored in the sender's account
-        (``tokens_reported``), as the sender sets its slice from them.
+        A "hello" requests leases of this limiter's shares, a "free" releases them.  A "back" releases the
+        sender's slice: the usage that it reports is deducted from the bucket and the sender's account is
+        closed, so that the slice isn't reserved later.  An "ask" reports usage in the same way and then takes
+        one token from the bucket.  The reply carries the remaining tokens.  They are stored in the sender's
+        account (``tokens_reported``), as the sender sets its slice from them.
 
         Returns None if there is no reply.  Raises InvalidMessageError.
         """
@@ -597,13 +639,13 @@
         if sender in self._peers:
             # Any message from a peer resets its circuit breaker.
             self._peers[sender].breaker = CircuitBreaker()
+        self._last_heard_at = now
         if kind == "hello":
-            ring = read_integer(message, "ring")
-            return (
-                None
-                if self._own_number is None or not ring
-                else {"k": "hi", "n": self._own_number, "ring": self.ring_digest}
-            )
+            return self._grant_leases(now, sender, message)
+        if kind == "free":
+            for tenant in read_tenants(message):
+                self._grants.release(now, tenant, sender)
+            return None
         number, tenant = read_integer(message, "n"), read_text(message, "t")
         incarnation, spent, acknowledged = (
             read_integer(message, "life"),
@@ -623,6 +665,7 @@
         version = read_integer(message, "v")
         tokens_left = read_number(message, "left") if "left" in message else None
         copy_owner = read_integer(message, "of", -1) if "of" in message else -1
+        held_for = read_number(message, "held", -MAX_NUMBER) if "held" in message else -math.inf
         configured = self._allowances.get(tenant)
         if configured is not None and self._config_version >= version:
             allowance, version = configured, self._config_version
@@ -651,8 +694,13 @@
             else tokens_left / self._limiter_count()
         )
         self._apply_usage(now, owned, sender, incarnation, spent, acknowledged, held_tokens)
+        if sender in owned.askers:
+            owned.askers[sender].held_until = now + held_for
+            if held_for > 0:
+                owned.next_check_at = -math.inf
+            self._take_share(now, owned, sender, held_for)
         decision = self._take_token(now, owned, ASKED)
-        tokens = owned.bucket.tokens
+        tokens = owned.bucket.tokens + owned.shares.pool
         if sender in owned.askers:
             owned.askers[sender].tokens_reported = tokens
         return {
@@ -685,7 +733,13 @@
                 # If the dropped tenant returns, its new bucket must not start full.
                 self._ring_changed_at = now
             bucket = TokenBucket(allowance.rate, allowance.burst, tokens, now, born=now, version=version)
-            owned = self._owned[allowance.tenant] = OwnedBucket(bucket, now, moved)
+            owned = self._owned[allowance.tenant] = OwnedBucket(allowance.tenant, bucket, now, moved)
+            if moved:
+                owned.shares.withhold_all(now, self._ring)
+                bucket.tokens = min(tokens, max(1.0, allowance.burst / self._limiter_count()))
+            else:
+                # The bucket holds the tokens of all shares; those that aren't leased are withheld next.
+                owned.shares.used = set(self._ring)
         elif version >= owned.bucket.version:
             self._apply_allowance(now, owned, allowance, version)
         if owned.ownership_lost and self._owner(allowance.tenant) == self._own_number:
@@ -697,6 +751,7 @@
                 now,
             )
             owned.bucket.tokens = min(owned.bucket.fill(now), self._take_own_copy(now, allowance.tenant))
+            owned.shares.withhold_all(now, self._ring)
         owned.last_used_at = now
         return owned
 
@@ -724,30 +779,39 @@
         """Decide on one request by the bucket; take one of its tokens if the request is allowed."""
         self._refresh(now, owned)
         bucket = owned.bucket
+        if bucket.tokens < 1.0 + LOW_BURST_FRACTION * bucket.burst and now >= owned.next_request_at:
+            self._note_lease_due(now, owned)
         if bucket.tokens < ONE_TOKEN:
             return QuotaDecision(False, max(1.0, bucket.wait_for(1.0) / max(bucket.part, 0.01)), decided_by)
         bucket.tokens -= 1.0
         return QuotaDecision(True, 0.0, decided_by)
 
     def _refresh(self, now: float, owned: OwnedBucket, *, force: bool = False) -> None:
-        """Fill the bucket at its part of the rate, and reserve the slices of askers that have become silent.
+        """Fill the bucket at its part of the rate, and update the shares that it contains.
 
-        ``force`` checks the askers even if none can have become silent yet.
+        ``force`` updates them even if none can have changed yet.
         """
-        bucket = owned.bucket
+        bucket, shares = owned.bucket, owned.shares
+        self._fill(now, owned)
+        if force or now >= owned.next_check_at:
+            self._reserve_silent(now, owned)
+            self._update_shares(now, owned)
+        overflow = bucket.tokens - max(bucket.burst * bucket.part, unleased_tokens(bucket.burst))
+        if overflow > 0:
+            bucket.tokens -= overflow
+            shares.pool += overflow if shares.withheld else 0.0
+
+    def _fill(self, now: float, owned: OwnedBucket) -> None:
+        """Add what has accrued to the bucket and to the pool of the withheld shares."""
+        bucket, shares, count = owned.bucket, owned.shares, self._limiter_count()
         bucket.fill(now)
         # Reservations are accounted for by asker, not in the bucket's escrow.
         bucket.escrow = 0.0
-        if force or now >= owned.next_check_at:
-            self._reserve_silent(now, owned)
-        bucket.tokens = min(bucket.tokens, max(1.0, bucket.burst * bucket.part))
+        capacity = bucket.burst * min(1.0, (len(shares.used) + len(shares.withheld)) / count)
+        shares.accrue(now, bucket.rate / count / 1000.0, capacity - max(0.0, bucket.tokens))
 
     def _reserve_silent(self, now: float, owned: OwnedBucket) -> None:
-        """Reserve the slices of limiters that may be deciding without this owner.
-
-        These are the askers that have become silent, the limiters that left the ring, and, while the bucket
-        is recently moved, the limiters that have neither asked nor confirmed the ring.  The bucket's part of
-        the quota (``bucket.part``) is reduced by one slice for each of them.
+        """Reserve the slices of askers that have become silent, as they may be deciding without this owner.
 
         When an asker becomes silent, the bucket is also charged with all that the slice may have admitted
         since the asker's last message: its part of the tokens in the owner's last reply, and of the rate
@@ -756,7 +820,7 @@
         then.
         """
         bucket, count = owned.bucket, self._limiter_count()
-        reserved_limiters, next_check_at = set(self._departed), math.inf
+        owned.next_check_at = math.inf
         for number, asker in list(owned.askers.items()):
             silent_ms = now - asker.last_heard_at
             if silent_ms > RESERVATION_MS:
@@ -765,29 +829,126 @@
             if not asker.reserved and silent_ms > asker.silence_timeout():
                 asker.reserved, asker.reserved_tokens = True, max(0.0, asker.tokens_reported) / count
                 possibly_used = asker.reserved_tokens + silent_ms * bucket.rate / count / 1000.0
+                bucket.tokens += owned.shares.take(now, number, math.inf, 0.0)
                 bucket.tokens = max(min(bucket.tokens, -bucket.burst), bucket.tokens - possibly_used)
-            if asker.reserved:
-                reserved_limiters.add(number)
-            next_check_at = min(
-                next_check_at,
+            owned.next_check_at = min(
+                owned.next_check_at,
                 asker.last_heard_at + (RESERVATION_MS if asker.reserved else asker.silence_timeout()),
             )
-        if owned.recently_moved:
-            unconfirmed = {
-                n
-                for n in self._ring
-                if n != self._own_number
-                and n not in owned.askers
-                and not ((peer := self._peers.get(n)) and peer.ring_agreed)
-            }
-            reserved_limiters |= unconfirmed
-            owned.recently_moved = bool(unconfirmed) or now - bucket.born <= NEW_BUCKET_MS
-            next_check_at = min(next_check_at, now + SILENCE_MIN_MS)
-        owned.reserved_slices = len(reserved_limiters)
-        bucket.part, owned.next_check_at = (
-            max(1.0 / count, 1.0 - len(reserved_limiters) / count),
-            next_check_at,
-        )
+
+    def _update_shares(self, now: float, owned: OwnedBucket) -> None:
+        """Set the bucket's part of the quota (``bucket.part``) to the shares that this owner may use now.
+
+        These are its own share, unless another limiter still holds it, those of its askers and those leased
+        to it.
+        """
+        bucket, shares = owned.bucket, owned.shares
+        available, unavailable = set[int](), set[int]()
+        for number in self._ring:
+            asker = owned.askers.get(number)
+            if number == self._own_number:
+                held_until = now + self._grants.held_for(now, owned.tenant)
+            elif asker is None:
+                held_until = math.inf
+            elif asker.reserved:
+                continue
+            else:
+                held_until = asker.held_until
+            if asker is not None and number != self._own_number:
+                # An ask is valid for as long as a lease.
+                ask_until = asker.last_heard_at + self._grants.duration_ms
+                if ask_until <= now:
+                    held_until = math.inf
+                else:
+                    owned.next_check_at = min(owned.next_check_at, ask_until)
+            if held_until > now:
+                unavailable.add(number)
+                owned.next_check_at = min(owned.next_check_at, held_until)
+            else:
+                available.add(number)
+        minimum = unleased_tokens(bucket.burst)
+        bucket.tokens = shares.update(now, available, unavailable, bucket.tokens, minimum)
+        owned.next_check_at = min(owned.next_check_at, shares.next_expiry())
+        if owned.recently_moved and now - bucket.born > NEW_BUCKET_MS:
+            owned.recently_moved = False
+        self._set_part(now, owned)
+
+    def _set_part(self, now: float, owned: OwnedBucket) -> None:
+        used: float = len(owned.shares.used)
+        if self._own_number in owned.shares.used and now - self._last_heard_at > SLICE_VALID_MS:
+            # The others may have ceased to reserve this limiter's share.
+            used -= (1.0 - NO_COPY_RATE_FRACTION) * (len(self._ring) > 1)
+        owned.bucket.part = min(1.0, used / self._limiter_count())
+
+    def _ring_part(self) -> float:
+        """Return the part of each quota that the limiters of the ring have, without those that left it."""
+        return len(self._ring) / self._limiter_count() if self._ring else 1.0
+
+    # Leases of shares --------------------------------------------------------------------
+
+    def _note_lease_due(self, now: float, owned: OwnedBucket) -> None:
+        """Note that an owned tenant needs more shares."""
+        if not owned.ownership_lost and len(self._lease_due) < MAX_DUE_TENANTS:
+            self._lease_due.add(owned.tenant)
+            owned.next_request_at = now + REQUEST_BACKOFF_MS / 2
+
+    def _grant_leases(self, now: float, sender: int, message: dict[str, Any]) -> dict[str, Any] | None:
+        """Lease this limiter's shares to a limiter that owns the tenants by this limiter's ring too."""
+        if self._own_number is None or not read_integer(message, "ring"):
+            return None
+        reply = {"k": "hi", "n": self._own_number, "ring": self.ring_digest}
+        if "t" not in message:  # an earlier version
+            return reply
+        granted = []
+        for tenant in read_tenants(message):
+            if sender in self._nodes and self._owner(tenant) == sender:
+                held_for = self._grants.grant(now, tenant, sender)
+                granted.append([tenant, max(-RESERVATION_MS, held_for)])
+        return reply | {"t": granted, "life": read_integer(message, "life"), "at": read_number(message, "at")}
+
+    def _handle_leases(self, now: float, number: int, message: dict[str, Any]) -> None:
+        """Use the shares that another limiter has leased to this owner.  Raises InvalidMessageError."""
+        if number not in self._nodes:
+            return
+        requested_at = now
+        if "t" not in message:  # an earlier version, which only tells its ring
+            agreed = read_integer(message, "ring") == self.ring_digest
+            leases = [(t, -RESERVATION_MS) for t, o in self._owned.items() if number in o.shares.requests]
+            leases = leases if agreed else []
+        else:
+            leases, requested_at = read_leases(message), read_number(message, "at")
+            if read_integer(message, "life") != self._incarnation or requested_at > now:
+                return
+        self._peer(now, number).breaker = CircuitBreaker()
+        until = requested_at + self._grants.duration_ms
+        for tenant, held_for in leases:
+            owned = self._owned.get(tenant)
+            if owned is None or owned.ownership_lost:
+                continue
+            asker = owned.askers.get(number)
+            if asker is not None and asker.reserved:
+                continue
+            if held_for > 0:
+                owned.shares.requests[number] = LeaseRequest(now + min(held_for, REQUEST_BACKOFF_MS))
+            elif until > now:
+                owned.shares.requests[number] = LeaseRequest(now + REQUEST_BACKOFF_MS)
+                owned.shares.leases[number] = max(until, owned.shares.leases.get(number, -math.inf))
+                owned.next_check_at = min(owned.next_check_at, until)
+                self._take_share(now, owned, number, held_for)
+
+    def _take_share(self, now: float, owned: OwnedBucket, number: int, held_for: float) -> None:
+        """Add the share of a limiter, which asks this owner or has leased it, to the bucket.
+
+        ``held_for`` is for how many ms another owner still holds the share; a negative number tells how long
+        ago the last lease to another one ended.
+        """
+        if held_for > 0 or number not in self._nodes or number in owned.shares.used:
+            return
+        self._fill(now, owned)
+        per_ms = owned.bucket.rate / self._limiter_count() / 1000.0
+        owned.bucket.tokens += owned.shares.take(now, number, -held_for, per_ms)
+        owned.shares.used.add(number)
+        self._set_part(now, owned)
 
     def _apply_usage(
         self,
@@ -819,8 +980,6 @@
                 mean_gap_ms = 1000.0 * count / bucket.rate if bucket.rate > 0 else INITIAL_GAP_MS
                 owned.askers[sender] = Asker(now, incarnation, spent, min(INITIAL_GAP_MS, mean_gap_ms))
                 owned.next_check_at = min(owned.next_check_at, now + SILENCE_MIN_MS)
-                if owned.recently_moved:
-                    self._refresh(now, owned, force=True)
             # Nothing is deducted for an asker without an account: the previous owner had reserved its slice.
             return
         accounted = max(asker.spent, acknowledged) if incarnation == asker.incarnation else 0
--- a/larklb/gateway/quota_exchange.py
+++ b/larklb/gateway/quota_exchange.py
@@ -19,12 +19,12 @@
 from larklb.registry.subscriber import Subscriber
 from larklb.schema.configuration import Tenant
 
-# Time between the periodic messages, which release unused slices and ask others to confirm the ring.
+# Time between the periodic messages, which release unused slices.
 MESSAGE_INTERVAL_MS = 300.0
 # Time between checks whether a log line is due.
 LOG_INTERVAL_MS = 1_000.0
 # Kinds of messages to an owner; all other kinds are replies.
-REQUEST_KINDS = frozenset(("ask", "back", "hello"))
+REQUEST_KINDS = frozenset(("ask", "back", "hello", "free"))
 
 
 Done = Callable[[QuotaDecision], object]
@@ -75,6 +75,7 @@
         self.addresses = {number: subscriber.members[node].ip for number, node in nodes.items()}
         local_number = subscriber.local_member.ring_number
         self.quotas.set_limiters(now, nodes, local_number if local_number >= 0 else None)
+        self._send_lease_messages(now)
 
     async def request_decision(self, tenant: Tenant) -> QuotaDecision | None:
         """Returns the decision on one request of a tenant, after asking the owner if necessary."""
@@ -91,6 +92,7 @@
         """Starts the decision on one request of a tenant; ``done`` is called once with it."""
         now = self.clock.now()
         request = self.quotas.request(now, allowance)
+        self._send_lease_messages(now)
         if not isinstance(request, Ask):
             self._finish(now, allowance.tenant, request, done)
             return
@@ -115,9 +117,14 @@
         if message.message["k"] in REQUEST_KINDS:
             if (answer := self.quotas.handle_request(now, sender, message.message)) is not None:
                 self.send(message.address, QuotaMessage(message=answer))
+            self._send_lease_messages(now)
         elif (decided := self.quotas.handle_reply(now, message.message)) is not None:
             self._decide(now, *decided)
 
+    def _send_lease_messages(self, now: float) -> None:
+        for number, message in self.quotas.lease_messages(now):
+            self._send(number, message)
+
     def _send(self, number: int, message: dict[str, Any]) -> None:
         if (address := self.addresses.get(number)) is not None:
             self.send(address, QuotaMessage(message=message))
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -10,6 +10,7 @@
 import heapq
 import itertools
 import logging
+import math
 import random
 from bisect import bisect_left
 from collections.abc import Callable
@@ -21,8 +22,9 @@
 
 from larklb.admission import quotas
 from larklb.admission.budget import RetryBudget
-from larklb.admission.quota_records import Allowance, Ask, QuotaDecision
+from larklb.admission.quota_records import Allowance, Ask, OwnedBucket, QuotaDecision
 from larklb.admission.quotas import Quotas
+from larklb.admission.share_leases import ShareGrants
 from larklb.quota.breaker import CircuitBreaker
 from larklb.quota.ring import digest, ring_owner
 
@@ -62,6 +64,7 @@
             limiter = self.limiters[i]
             if limiter is not None:
                 limiter.set_limiters(self.now, numbers, i if i in numbers else None)
+                self.send_lease_messages(i, limiter)
         for i in receivers:
             self.schedule(when + self.rng.uniform(0, 500), lambda i=i: apply(i))    # type: ignore[misc]
 
@@ -80,13 +83,18 @@
         if not self.is_lost(self.now, sender, receiver, self.rng):
             self.schedule(self.now + self.rng.uniform(1, 4), lambda: self.deliver(sender, receiver, message))
 
+    def send_lease_messages(self, i: int, limiter: Quotas) -> None:
+        for receiver, message in limiter.lease_messages(self.now):
+            self.send(i, receiver, message)
+
     def deliver(self, sender: int, receiver: int, message: dict[str, Any]) -> None:
         limiter = self.limiters[receiver]
         if limiter is None:
             return
-        if message["k"] in ("ask", "back", "hello"):
+        if message["k"] in ("ask", "back", "hello", "free"):
             if (reply := limiter.handle_request(self.now, sender, message)) is not None:
                 self.send(receiver, sender, reply)
+            self.send_lease_messages(receiver, limiter)
         elif (decision := limiter.handle_reply(self.now, message)) is not None:
             self.record_decision(decision[1])
 
@@ -95,6 +103,7 @@
             return
         self.requests += 1
         result = limiter.request(self.now, self.allowance)
+        self.send_lease_messages(i, limiter)
         if isinstance(result, QuotaDecision):
             limiter.record_decision(self.now, self.allowance.tenant, result)
             return self.record_decision(result)
@@ -314,6 +323,58 @@
     assert not limiter.rows(0.0) and limiter.handle_request(0.0, 1, message) is not None
 
 
+LEASE_REQUEST = {"k": "hello", "ring": 1, "t": ["huka270"], "life": 5, "at": 1.0}
+
+
+@pytest.mark.parametrize("key", ["ring", "t", "life", "at"])
+def test_a_lease_request_with_one_invalid_value_grants_nothing(key: str) -> None:
+    numbers = {0: "a", 1: "b"}
+    owner = ring_owner(digest("huka270"), [0, 1])
+    limiter = Quotas("x", 0.0, 1, first_start=True)
+    limiter.set_limiters(0.0, numbers, 1 - owner)
+    values: list[Any] = [None, True, -1, "x", [], [""], [1], ["t"] * 17, {}]
+    for value in values:
+        reply = limiter.handle_request(0.0, owner, LEASE_REQUEST | {key: value})
+        assert reply is None or not reply["t"], reply
+    reply = limiter.handle_request(0.0, owner, LEASE_REQUEST)
+    assert reply is not None and reply["t"] == [["huka270", -quotas.RESERVATION_MS]]
+
+
+def test_a_share_is_leased_to_one_owner_at_a_time() -> None:
+    grants = ShareGrants.at_start(0.0, 1000.0, first_start=True)
+    assert grants.grant(0.0, "t", 1) == -math.inf and grants.grant(500.0, "t", 1) == -math.inf
+    assert grants.grant(600.0, "t", 2) == 950.0, "1,050 ms after the last lease"
+    assert grants.grant(1550.0, "t", 2) == 0.0 and grants.grant(1600.0, "t", 2) == -50.0
+    grants.release(1700.0, "t", 1)
+    assert grants.grant(1700.0, "t", 1) == 950.0
+    grants.release(1800.0, "t", 2)
+    assert grants.grant(1810.0, "t", 1) == -10.0
+    restarted = ShareGrants.at_start(0.0, 1000.0, first_start=False)
+    assert restarted.grant(50.0, "t", 1) == 1000.0 and restarted.held_for(50.0, "u") == 1000.0
+
+
+def test_a_reply_to_an_earlier_process_or_a_late_one_gives_no_lease() -> None:
+    owner_number = ring_owner(digest("huka270"), [0, 1])
+    owner = Quotas("x", 0.0, 1, first_start=True)
+    owner.set_limiters(0.0, {0: "a", 1: "b"}, owner_number)
+    allowance = Allowance("huka270", 10, 4)
+    for _ in range(4):
+        owner.request(0.0, allowance)
+    (_, request), = owner.lease_messages(0.0)
+    reply = {"k": "hi", "n": 1 - owner_number, "ring": request["ring"], "t": [["huka270", -1.0]],
+             "life": request["life"], "at": 0.0}
+
+    def apart() -> int:
+        return int(owner.rows(1100.0)[0]["apart"])
+
+    owner.handle_reply(900.0, reply | {"life": request["life"] + 1})
+    owner.handle_reply(1050.0, reply)
+    owner.handle_reply(1050.0, reply | {"at": 2000.0})
+    assert apart() == 1
+    owner.handle_reply(1050.0, reply | {"at": 900.0})
+    assert apart() == 0
+
+
 def test_the_log_tells_ring_owner_and_basis_of_decisions(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level(logging.INFO, "quota")
     net = QuotaNetwork(ALLOWANCES[0], 1)
@@ -348,7 +409,13 @@
             owned.bucket.tokens, owned.recently_moved = allowance.burst, False
         return owned
 
+    def use_all_shares(self: Quotas, now: float, owned: OwnedBucket) -> None:
+        owned.shares.used, owned.bucket.part = set(self._ring), 1.0
+
     monkeypatch.setattr(Quotas, "_get_owned", get_full)
+    # A new owner uses most of a burst only as the other limiters lease their shares.
+    assert overload(ring_changes, 1, ALLOWANCES[0]).excess() <= 0
+    monkeypatch.setattr(Quotas, "_update_shares", use_all_shares)
     assert overload(ring_changes, 1, ALLOWANCES[0]).excess() > 0
 
 
