Leases of shares follow the terms' bounds, and a bucket's shares are updated at most 20 times a second

With terms that shorten the membership's leases a lease of a share would outlast the change of owner and delay the successor; with hundreds of limiters a hot tenant's owner would go through all shares at each ask that ages out. Change: the duration is scaled like the membership's; leases count as ended up to 50 ms early, so that they are checked that often.

--- a/larklb/admission/quotas.py
+++ b/larklb/admission/quotas.py
@@ -108,6 +108,8 @@
 # Asks may lower the tokens of such a bucket to those of the asker's bucket copy for this long, during which
 # the bucket counts as recently moved.
 NEW_BUCKET_MS = 1000.0
+# Least time between two updates of a bucket's shares; leases count as ended this much earlier.
+SHARE_CHECK_INTERVAL_MS = 50.0
 # Tenants for which lease requests may be due at the same time.
 MAX_DUE_TENANTS = 1_000
 # Initial tokens of all limiters without a bucket copy together.
@@ -443,7 +445,7 @@
         due: dict[int, list[str]] = {}
         for tenant in self._lease_due:
             owned = self._owned.get(tenant)
-            if owned is None or owned.ownership_lost:
+            if owned is None or owned.ownership_lost or self._owner(tenant) != self._own_number:
                 continue
             recent = now - RENEWAL_FRACTION * self._grants.duration_ms
             asking = {
@@ -842,33 +844,32 @@
         These are its own share, unless another limiter still holds it, those of its askers and those leased
         to it.
         """
-        bucket, shares = owned.bucket, owned.shares
+        bucket, shares, horizon = owned.bucket, owned.shares, now + SHARE_CHECK_INTERVAL_MS
         available, unavailable = set[int](), set[int]()
+        next_change = self._last_heard_at + SLICE_VALID_MS
+        next_change = next_change if next_change > now else math.inf
         for number in self._ring:
             asker = owned.askers.get(number)
+            if asker is not None and asker.reserved:
+                continue
             if number == self._own_number:
-                held_until = now + self._grants.held_for(now, owned.tenant)
+                until, held_until = math.inf, now + self._grants.held_for(now, owned.tenant)
             elif asker is None:
-                held_until = math.inf
-            elif asker.reserved:
-                continue
+                until = held_until = -math.inf
             else:
-                held_until = asker.held_until
-            if asker is not None and number != self._own_number:
                 # An ask is valid for as long as a lease.
-                ask_until = asker.last_heard_at + self._grants.duration_ms
-                if ask_until <= now:
-                    held_until = math.inf
-                else:
-                    owned.next_check_at = min(owned.next_check_at, ask_until)
+                until, held_until = asker.last_heard_at + self._grants.duration_ms, asker.held_until
             if held_until > now:
-                unavailable.add(number)
-                owned.next_check_at = min(owned.next_check_at, held_until)
-            else:
+                next_change = min(next_change, held_until)
+            if held_until <= now and until > horizon:
                 available.add(number)
+                next_change = min(next_change, until)
+            else:
+                unavailable.add(number)
         minimum = unleased_tokens(bucket.burst)
-        bucket.tokens = shares.update(now, available, unavailable, bucket.tokens, minimum)
-        owned.next_check_at = min(owned.next_check_at, shares.next_expiry())
+        bucket.tokens = shares.update(now, horizon, available, unavailable, bucket.tokens, minimum)
+        next_change = min(next_change, shares.next_expiry())
+        owned.next_check_at = min(owned.next_check_at, max(horizon, next_change))
         if owned.recently_moved and now - bucket.born > NEW_BUCKET_MS:
             owned.recently_moved = False
         self._set_part(now, owned)
--- a/larklb/admission/share_leases.py
+++ b/larklb/admission/share_leases.py
@@ -145,14 +145,20 @@
         self.pool_updated_at = now
 
     def update(
-        self, now: float, available: set[int], unavailable: set[int], tokens: float, minimum: float
+        self,
+        now: float,
+        horizon: float,
+        available: set[int],
+        unavailable: set[int],
+        tokens: float,
+        minimum: float,
     ) -> float:
         """Withholds the shares that are no longer available, and returns the tokens left to the owner.
 
         ``available`` are the shares of the owner itself and of limiters that ask it; ``unavailable`` are all
-        others, which are available while they are leased.  Of ``tokens`` the withheld shares take their
-        parts, but ``minimum`` is left."""
-        leased = {number for number in unavailable if self.leases.get(number, -math.inf) > now}
+        others, which are available if they are leased until after ``horizon``, the time of the next update.
+        Of ``tokens`` the withheld shares take their parts, but ``minimum`` is left."""
+        leased = {number for number in unavailable if self.leases.get(number, -math.inf) > horizon}
         for number in self.withheld.keys() - unavailable:
             # Its limiter has left the ring, or asks again after another owner held the share.
             self.take(now, number, 0.0, 0.0)
--- a/larklb/lab/quota_world.py
+++ b/larklb/lab/quota_world.py
@@ -18,6 +18,7 @@
 
 from larklb.admission.quota_records import Allowance, OvershootBound, QuotaDecision
 from larklb.admission.quotas import ASKED, OWNER, Quotas
+from larklb.admission.share_leases import LEASE_DURATION_MS
 from larklb.gateway.messages import AnyMessage, QuotaMessage
 from larklb.gateway.quota_exchange import QuotaExchange
 from larklb.lab.control_world import Machine, Timer, World
@@ -135,13 +136,19 @@
         """Starts a new process with quotas of its own."""
         super().start(machine)
         assert machine.plane is not None
-        quotas = Quotas(machine.node, self.now, self.rng.randrange(1 << 30), first_start=self.bootstrap)
+        subscriber = machine.plane.subscriber
+        quotas = Quotas(
+            machine.node,
+            self.now,
+            self.rng.randrange(1 << 30),
+            first_start=self.bootstrap,
+            lease_duration_ms=LEASE_DURATION_MS * subscriber.time_scale,
+        )
         clock = MachineClock(self, machine, machine.incarnation)
         exchange = QuotaExchange(quotas, clock, machine.plane.send, Counter())
         self.exchanges[machine.node] = exchange
         allowances = {tenant: record.allowance for tenant, record in self.records.items()}
         quotas.set_allowances(self.now, 1, allowances)
-        subscriber = machine.plane.subscriber
         subscriber.on_change = lambda: exchange.update_members(self.now, subscriber)
         clock.after(EXPIRY_INTERVAL_MS, self._expire, machine, clock)
 
