The soak counts what a tenant gets, and cuts limiters off and suspends processes

Change: two tenants send many times their quota at changing times and to changing limiters, over connections that they keep; the requests that were sent and run within 5 s, over all limiters, are compared with the limit.

--- a/larklb/lab/quota_world.py
+++ b/larklb/lab/quota_world.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from bisect import insort
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
@@ -22,6 +21,7 @@
 from larklb.gateway.messages import AnyMessage, QuotaMessage
 from larklb.gateway.quota_exchange import QuotaExchange
 from larklb.lab.control_world import Machine, Timer, World
+from larklb.lab.quota_check import allowed_per_window, worst_window
 
 # Time for an admitted request to reach its server, (min, max).
 FORWARD_DELAY_MS = (0.5, 3.0)
@@ -68,23 +68,11 @@
     @property
     def allowed_per_window(self) -> float:
         """How many requests may run in a window, by the rule."""
-        quota = self.allowance.rate * self.bound.window_s + self.allowance.burst
-        return quota * (1.0 + self.bound.overshoot) + self.bound.slack
+        return allowed_per_window(self.allowance, self.bound)
 
     def worst_window(self) -> list[Run]:
         """Returns the runs of the window with the most requests that were both sent and run in it."""
-        runs = sorted(self.runs, key=lambda run: run.run_at)
-        window_ms = self.bound.window_s * 1000.0
-        worst: list[Run] = []
-        # Runs whose window hasn't ended, by the time of sending.
-        current: list[tuple[float, int, Run]] = []
-        for index, run in enumerate(runs):
-            insort(current, (run.sent_at, index, run))
-            while current[0][0] < run.run_at - window_ms:
-                current.pop(0)
-            if len(current) > len(worst):
-                worst = [entry[2] for entry in current]
-        return worst
+        return worst_window(self.runs, self.bound.window_s * 1000.0)
 
     def excess(self) -> float:
         """Returns by how many requests the worst window exceeds the limit; at most 0 if the rule holds."""
--- a/larklb/lab/soak.py
+++ b/larklb/lab/soak.py
@@ -1,17 +1,18 @@
-"""Soak test: limiter processes on loopback under overlapping series of signals, restarts and changes.
+"""Soak test: limiter processes on loopback under overlapping series of signals, restarts, cuts and changes.
 
-Clients use their connections until the process is gone, and some disconnect during a request. These
-violations are detected from the records of clients and servers:
+Clients use their connections until the process is gone, and some disconnect during a request. Some tenants
+send more than their quota at times. These violations are detected from the records of clients and servers:
 
     twice     an unsafe request ran more than once
     promise   a request ran though its status (408, 421, 429, 503) promises that it didn't
     wrong     a success has another body than its own, or no server completed the request
     lost      a request that had reached a server was disconnected by a process that wasn't killed
     gone      a run began, or a safe run continued, more than half a second after its client had disconnected
+    quota     more requests of a tenant were sent and run within a window than its limit allows
     end       a process didn't exit with 0 within its grace period after SIGTERM
     settled   at the end, not all limiters are ready with the last acknowledged configuration
 
-    python -m larklb.lab.soak [--seeds N] [--first S] [--seconds T] [--jobs J]
+    python -m larklb.lab.soak [--seeds N] [--first S] [--seconds T] [--jobs J] [--limiters L]
 
 prints one line per seed, and exits with 1 on any violation. The processes' logs of such a seed are retained.
 """
@@ -35,9 +36,11 @@
 from attrs import define, field
 
 from larklb.lab.soak_clients import ClientRequest, PersistentClient, Run, SoakServer
+from larklb.lab.soak_quotas import ALLOWANCES, QUOTA_CONFIGURATION, TenantLoad
+from larklb.lab.soak_relays import Relays
 from larklb.lab.system import RECOVERY_TIMEOUT_S, START_TIMEOUT_S, Trial
 from larklb.lab.system_clients import NOT_RUN_STATUSES
-from larklb.lab.system_network import CONFIGURATION, CORES, GRACE_S, LIMITERS, TrialError
+from larklb.lab.system_network import CORES, GRACE_S, LIMITERS, TrialError, free_net
 from larklb.schema import calls
 
 # The work of a request must end within this time after its client has disconnected.
@@ -47,6 +50,10 @@
 KILL_WINDOW_S = 0.4
 CLIENTS = 14
 DOWN_S = (0.2, 1.0)  # time between the end and the restart of a process, (min, max)
+# How long a process is suspended, and how long a limiter is cut off from the others, (min, max).
+FREEZE_S, CUT_S = (0.2, 2.0), (1.0, 7.0)
+# With more limiters there are no relays between them, and so no cuts.
+MAX_RELAYED_LIMITERS = 16
 DEFAULT_DURATION_S = 8.0
 Step = Callable[[random.Random], Awaitable[None]]
 
@@ -72,8 +79,10 @@
 class Soak(Trial):
     """The run for one seed, which stops everything it started."""
 
-    def __init__(self, folder: Path, seconds: float, seed: int) -> None:
-        super().__init__(folder, seconds, True)
+    def __init__(self, folder: Path, seconds: float, seed: int, limiters: int = LIMITERS) -> None:
+        relayed = limiters <= MAX_RELAYED_LIMITERS
+        super().__init__(folder, seconds, True, free_net(limiters, own_peer_ports=relayed))
+        self.relays = Relays(self.net) if relayed else None
         self.seed, self.rng = seed, random.Random(seed)
         self.soak_servers = [
             SoakServer(s.id, s.service, s.zone, s.ip, s.port, s.controls, random.Random(seed + k))
@@ -84,16 +93,23 @@
             PersistentClient(f"c{n}", self.net, random.Random(seed * 1_000 + n), self._target)
             for n in range(CLIENTS)
         ]
+        self.loads = [
+            TenantLoad(allowance, self.net, random.Random(seed * 1_000 + 500 + n), self._ready_limiters)
+            for n, allowance in enumerate(ALLOWANCES)
+        ]
+        # Kills by limiter and time, and the times at which one was suspended.
         self.kills: list[tuple[int, float]] = []
         self.restarting: set[int] = set()
         self.core_lock = asyncio.Lock()  # one core machine at a time, the most that may be lost
-        self.version = int(CONFIGURATION["version"])
+        self.version = int(QUOTA_CONFIGURATION["version"])
         self.counts: Counter[str] = Counter()
         self.broken: list[Violation] = []
 
+    def _ready_limiters(self) -> list[int]:
+        return self.clients.ready() or list(range(self.net.limiters))
+
     def _target(self) -> int:
-        ready = self.clients.ready() or list(range(LIMITERS))
-        return self.rng.choice(ready)
+        return self.rng.choice(self._ready_limiters())
 
     async def play(self) -> Result:
         """Runs the soak, from the first start to the final checks.
@@ -101,23 +117,29 @@
         Raises:
             TrialError: The limiters don't become ready.
         """
+        if self.relays is not None:
+            await self.relays.start()
         for server in self.servers:
             await server.start()
             self.tasks.append(asyncio.ensure_future(server.send_heartbeats()))
-        for i in range(LIMITERS):
+        for i in range(self.net.limiters):
             await self.start(i, True)
         self.tasks.append(asyncio.ensure_future(self.clients.poll_readiness()))
-        await self.change(calls.REPLACE, 0, CONFIGURATION)
+        await self.change(calls.REPLACE, 0, QUOTA_CONFIGURATION)
         if not await self.wait_until("all limiters are ready", START_TIMEOUT_S, self.all_converged):
             raise TrialError("they never got ready")
         until = asyncio.get_running_loop().time() + self.seconds
         await asyncio.gather(
             *(client.run(until) for client in self.persistent_clients),
+            *(load.run(until) for load in self.loads),
             *(series for series in self._series(until)),
         )
         self.clients.killed = {}
         await asyncio.sleep(ABANDONED_WORK_S + SLACK_S)
         self.broken += self._check_requests()
+        self.broken += [
+            Violation("quota", text) for load in self.loads if (text := load.excess(self._runs_of))
+        ]
         await self._check_settled()
         return Result(self.seed, self.counts, self.broken)
 
@@ -125,7 +147,10 @@
 
     def _series(self, until: float) -> Iterator[asyncio.Future[None]]:
         """Starts the overlapping series of faults, each at its own rate."""
-        for step, count in ((self._term, 2), (self._hang_up, 2), (self._kill, 1), (self._amend, 1)):
+        steps = [(self._term, 2), (self._hang_up, 2), (self._kill, 1), (self._amend, 1), (self._freeze, 1)]
+        if self.relays is not None:
+            steps.append((self._cut, 1))
+        for step, count in steps:
             for _ in range(count):
                 yield asyncio.ensure_future(self._repeat(step, until))
 
@@ -182,20 +207,58 @@
             await asyncio.sleep(0.1)
 
     async def _term(self, rng: random.Random) -> None:
-        await self._restart(rng.randrange(LIMITERS), signal.SIGTERM, rng)
+        await self._restart(rng.randrange(self.net.limiters), signal.SIGTERM, rng)
 
     async def _kill(self, rng: random.Random) -> None:
-        await self._restart(rng.randrange(LIMITERS), signal.SIGKILL, rng)
+        await self._restart(rng.randrange(self.net.limiters), signal.SIGKILL, rng)
 
     async def _hang_up(self, rng: random.Random) -> None:
-        i = rng.randrange(LIMITERS)
+        i = rng.randrange(self.net.limiters)
         # A process that has just started doesn't handle signals yet.
         if i not in self.restarting and (await self.status(i, calls.COUNTS)).get("ready"):
             self.counts["SIGHUP"] += 1
             self.processes[i].send_signal(signal.SIGHUP)
 
+    async def _freeze(self, rng: random.Random) -> None:
+        """Suspends a process for a while; what its clients see meanwhile counts like a kill."""
+        i, clock = rng.randrange(self.net.limiters), asyncio.get_running_loop().time
+        if i in self.restarting or not (await self.status(i, calls.COUNTS)).get("ready"):
+            return
+        self.restarting.add(i)
+        process, until = self.processes[i], clock() + rng.uniform(*FREEZE_S)
+        self.counts["SIGSTOP"] += 1
+        process.send_signal(signal.SIGSTOP)
+        try:
+            while clock() < until:
+                self.kills.append((i, clock()))
+                await asyncio.sleep(KILL_WINDOW_S / 2)
+        finally:
+            process.send_signal(signal.SIGCONT)
+            self.kills.append((i, clock()))
+            self.restarting.discard(i)
+
+    async def _cut(self, rng: random.Random) -> None:
+        """Cuts a limiter off from the core or from all others; at most one core machine at a time."""
+        i = rng.randrange(self.net.limiters)
+        if i >= CORES:
+            await self._cut_off(i, rng)
+            return
+        async with self.core_lock:
+            await self._cut_off(i, rng)
+            await self._wait_until_serving(i)
+
+    async def _cut_off(self, i: int, rng: random.Random) -> None:
+        assert self.relays is not None
+        others = range(CORES) if rng.random() < 0.5 else range(self.net.limiters)
+        self.counts["cut"] += 1
+        pairs = self.relays.cut(i, others)
+        try:
+            await asyncio.sleep(rng.uniform(*CUT_S))
+        finally:
+            self.relays.join(pairs)
+
     async def _amend(self, rng: random.Random) -> None:
-        route = {**CONFIGURATION["hosts"][0]["paths"][1], "timeoutMs": rng.randrange(3_500, 4_500)}
+        route = {**QUOTA_CONFIGURATION["hosts"][0]["paths"][1], "timeoutMs": rng.randrange(3_500, 4_500)}
         base, self.version = self.version, self.version + rng.randrange(1, 4)
         await self.change(
             calls.AMEND,
@@ -217,7 +280,8 @@
         )
 
     def _check_requests(self) -> Iterator[Violation]:
-        for client in self.persistent_clients:
+        clients = [*self.persistent_clients, *(client for load in self.loads for client in load.clients)]
+        for client in clients:
             for request in client.requests:
                 self.counts[
                     str(request.status) if request.status else "left" if request.closed_at else "cut"
@@ -231,7 +295,7 @@
             yield Violation("promise", f"{request.path}: {request.status}")
         if request.status == 200 and (
             not any(run.completed for run in runs)
-            or request.body.decode("utf-8", "replace") != f"{request.path} for yard"
+            or request.body.decode("utf-8", "replace") != f"{request.path} for {request.tenant}"
         ):
             yield Violation("wrong", request.path)
         if (
@@ -261,20 +325,22 @@
             )
 
 
-async def _run_soak(folder: Path, seconds: float, seed: int) -> Result:
-    soak = Soak(folder, seconds, seed)
+async def _run_soak(folder: Path, seconds: float, seed: int, limiters: int) -> Result:
+    soak = Soak(folder, seconds, seed, limiters)
     try:
         return await soak.play()
     except TrialError as error:
         return Result(seed, soak.counts, [*soak.broken, Violation("settled", str(error))])
     finally:
         await soak.stop()
+        if soak.relays is not None:
+            soak.relays.stop()
 
 
-def play(seed: int, seconds: float = DEFAULT_DURATION_S) -> Result:
+def play(seed: int, seconds: float = DEFAULT_DURATION_S, limiters: int = LIMITERS) -> Result:
     """Runs one seed in this process; the limiters' logs are retained on a violation."""
     folder = tempfile.mkdtemp(prefix=f"larklb-soak-{seed}-")
-    result = asyncio.run(_run_soak(Path(folder), seconds, seed))
+    result = asyncio.run(_run_soak(Path(folder), seconds, seed, limiters))
     if result.broken:
         result.logs = folder
     else:
@@ -282,7 +348,7 @@
     return result
 
 
-def _run_in_subprocess(seed: int, seconds: float) -> str:
+def _run_in_subprocess(seed: int, seconds: float, limiters: int) -> str:
     """Runs one seed in a subprocess and returns its line of JSON."""
     completed_process = subprocess.run(
         [
@@ -295,6 +361,8 @@
             "1",
             "--seconds",
             str(seconds),
+            "--limiters",
+            str(limiters),
         ],
         capture_output=True,
         text=True,
@@ -323,15 +391,18 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=DEFAULT_DURATION_S)
     parser.add_argument("--jobs", type=int, default=1)
+    parser.add_argument("--limiters", type=int, default=LIMITERS)
     options = parser.parse_args()
     seeds = range(options.first, options.first + options.seeds)
     if options.seeds == 1:
-        result = play(options.first, options.seconds)
+        result = play(options.first, options.seconds, options.limiters)
         print(format_result(result), flush=True)
         return 1 if result.broken else 0
     failed = 0
     with ThreadPoolExecutor(options.jobs) as pool:
-        for result_line in pool.map(lambda seed: _run_in_subprocess(seed, options.seconds), seeds):
+        for result_line in pool.map(
+            lambda seed: _run_in_subprocess(seed, options.seconds, options.limiters), seeds
+        ):
             print(result_line, flush=True)
             failed += bool(json.loads(result_line)["broken"])
     print(f"{len(seeds)} seeds, {failed} with anything broken", flush=True)
--- a/larklb/lab/system.py
+++ b/larklb/lab/system.py
@@ -28,11 +28,11 @@
     CORES,
     DRAIN_BOUND_S,
     GRACE_S,
-    LIMITERS,
     REQUEST_INTERVAL_S,
     SMALL_RATE,
     ZONES,
     Document,
+    Net,
     TrialError,
     call,
     free_net,
@@ -59,11 +59,12 @@
     :param folder: Directory for the settings, logs and disks of the limiters.
     :param seconds: Duration of the request stream.
     :param quiet: Print nothing and skip the demonstration of the commands.
+    :param net: The addresses; free ones by default.
     """
 
-    def __init__(self, folder: Path, seconds: float, quiet: bool) -> None:
+    def __init__(self, folder: Path, seconds: float, quiet: bool, net: Net | None = None) -> None:
         self.folder, self.seconds, self.quiet = folder, seconds, quiet
-        self.net, rng = free_net(), random.Random(11)
+        self.net, rng = net or free_net(), random.Random(11)
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.clients = Clients(self.net, rng)
         self.servers = [
@@ -170,13 +171,13 @@
     async def all_converged(self) -> bool:
         """Return whether all limiters are ready with one configuration and see each other and all servers."""
         expected = {s.id for s in self.servers if not s.draining}
-        registries = [await self.status(i, calls.SERVERS) for i in range(LIMITERS)]
-        members = [await self.status(i, calls.MEMBERS) for i in range(LIMITERS)]
+        registries = [await self.status(i, calls.SERVERS) for i in range(self.net.limiters)]
+        members = [await self.status(i, calls.MEMBERS) for i in range(self.net.limiters)]
         return (all(registry.get("ready")
                     and expected <= {s["id"] for s in registry["servers"] if not s["silent"]}
                     for registry in registries)
                 and len({registry["version"] for registry in registries}) == 1
-                and all(sum(m["state"] == "up" for m in view.get("members", ())) == LIMITERS
+                and all(sum(m["state"] == "up" for m in view.get("members", ())) == self.net.limiters
                         for view in members))
 
     async def show(self) -> None:
@@ -185,18 +186,20 @@
         :raises TrialError: The trial cannot go on.
         """
         clients, seconds = self.clients, self.seconds
-        self.say(f"Limiters at {self.net.ip(0)} to {self.net.ip(LIMITERS - 1)}, each a process: three with a "
-                 "disk, two without.\nFour stand-in servers of two services beat at them.")
+        last = self.net.ip(self.net.limiters - 1)
+        self.say(f"Limiters at {self.net.ip(0)} to {last}, each a process: three with a disk, two without.\n"
+                 "Four stand-in servers of two services beat at them.")
         for server in self.servers:
             await server.start()
             self.tasks.append(asyncio.ensure_future(server.send_heartbeats()))
-        for i in range(LIMITERS):
+        for i in range(self.net.limiters):
             await self.start(i, True)
         self.tasks.append(asyncio.ensure_future(clients.poll_readiness()))
         await self.change(calls.REPLACE, 0, CONFIGURATION)
         self.say("\nVersion 1 of a configuration is acknowledged: a majority of the three disks has it.")
         if not await self.wait_until("all limiters are ready", START_TIMEOUT_S, self.all_converged):
-            raise TrialError("; ".join(f"limiter-{i}: {self.last_log_line(i)}" for i in range(LIMITERS)))
+            lines = (f"limiter-{i}: {self.last_log_line(i)}" for i in range(self.net.limiters))
+            raise TrialError("; ".join(lines))
         await self.wait_until("the platform finds them ready", 3.0, self._all_ready)
         self.say(
             f"All five are ready. Requests begin, {1 / REQUEST_INTERVAL_S:.0f} a second for {seconds:g} s.")
@@ -210,7 +213,7 @@
         await self._end()
 
     async def _all_ready(self) -> bool:
-        return len(self.clients.ready()) == LIMITERS
+        return len(self.clients.ready()) == self.net.limiters
 
     async def _inject_faults(self, started_at: float) -> None:
         loop, seconds = asyncio.get_running_loop(), self.seconds
--- a/larklb/lab/system_clients.py
+++ b/larklb/lab/system_clients.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field
 
-from larklb.lab.system_network import LIMITERS, PREFIXES, REQUEST_INTERVAL_S, Net, call
+from larklb.lab.system_network import PREFIXES, REQUEST_INTERVAL_S, Net, call
 from larklb.schema import calls
 
 REQUEST_DEADLINE_S = 5.0   # of a client's request, over all its attempts
@@ -43,7 +43,7 @@
 
     def __init__(self, net: Net, rng: random.Random) -> None:
         self.net, self.rng, self.figures = net, rng, Figures()
-        self.misses = Counter({i: 2 for i in range(LIMITERS)})
+        self.misses = Counter({i: 2 for i in range(self.net.limiters)})
         self.killed: dict[int, float] = {}             # time at which each was killed
         self.kinds = ["place-order", "look-up"]
         self.number = 0
@@ -52,7 +52,7 @@
     async def poll_readiness(self) -> None:
         """Poll the readiness of all limiters for ever; those that aren't ready get no new connections."""
         while True:
-            await asyncio.gather(*(self._poll_limiter(i) for i in range(LIMITERS)))
+            await asyncio.gather(*(self._poll_limiter(i) for i in range(self.net.limiters)))
             await asyncio.sleep(READINESS_POLL_S)
 
     async def _poll_limiter(self, i: int) -> None:
@@ -64,7 +64,7 @@
 
     def ready(self) -> list[int]:
         """Return the limiters that haven't failed two readiness checks in a row."""
-        return [i for i in range(LIMITERS) if self.misses[i] < 2]
+        return [i for i in range(self.net.limiters) if self.misses[i] < 2]
 
     async def stream(self, seconds: float) -> None:
         """Send requests for `seconds` and wait until the last one has ended."""
@@ -100,7 +100,7 @@
         last_result = "nothing"
         while (left := deadline - loop.time()) > 0.05:
             self.figures.tries += 1
-            i = self.rng.choice(self.ready() or list(range(LIMITERS)))
+            i = self.rng.choice(self.ready() or list(range(self.net.limiters)))
             attempt_start, attempt = loop.time(), f"{self.rng.getrandbits(64):016x}"
             address = f"{self.net.ip(i)}:{self.net.edge}"
             try:
--- a/larklb/lab/system_network.py
+++ b/larklb/lab/system_network.py
@@ -58,10 +58,13 @@
     """Loopback addresses and ports of one trial.
 
     Limiters have addresses from .1, servers from .101; all limiters use the same ports, as do all servers.
+    Only with `own_peer_ports` each limiter has another port for messages, as relays between them need.
     """
 
     prefix: str
     base: int
+    limiters: int = LIMITERS
+    own_peer_ports: bool = False
 
     def ip(self, number: int) -> str:
         """Return the address of a limiter (from 0) or a server (from 100)."""
@@ -82,10 +85,9 @@
         """The port for readiness checks."""
         return self.base + 2
 
-    @property
-    def peer(self) -> int:
-        """The port for messages between limiters."""
-        return self.base + 3
+    def peer(self, number: int) -> int:
+        """Return the port of a limiter for messages between limiters."""
+        return self.base + (10 + number if self.own_peer_ports else 3)
 
     @property
     def server(self) -> int:
@@ -94,7 +96,7 @@
 
     def controls(self) -> list[str]:
         """Return the control addresses of all limiters."""
-        return [f"{self.ip(i)}:{self.control}" for i in range(LIMITERS)]
+        return [f"{self.ip(i)}:{self.control}" for i in range(self.limiters)]
 
 
 def _free(ip: str, port: int) -> bool:
@@ -107,16 +109,20 @@
     return True
 
 
-def free_net() -> Net:
+def free_net(limiters: int = LIMITERS, *, own_peer_ports: bool = False) -> Net:
     """Return addresses that are free, derived from the process ID so that concurrent trials don't collide.
 
+    :param limiters: Number of limiters, less than 100.
+    :param own_peer_ports: Whether each limiter has a port of its own for messages between limiters.
     :raises TrialError: No free addresses were found.
     """
     for step in range(200):
         number = os.getpid() + step * 7919
         # The ports lie below the ephemeral range of outgoing connections.
-        net = Net(f"127.{1 + number // 250 % 250}.{1 + number % 250}", 18000 + step * 10)
-        if all(_free(net.ip(i), net.base + p) for i in range(LIMITERS) for p in range(4)) and all(
+        prefix = f"127.{1 + number // 250 % 250}.{1 + number % 250}"
+        net = Net(prefix, 18000 + step * 10, limiters, own_peer_ports)
+        ports = range(10 + limiters if own_peer_ports else 4)
+        if all(_free(net.ip(i), net.base + p) for i in range(limiters) for p in ports) and all(
                 _free(net.ip(100 + i), net.server) for i in range(4)):
             return net
     raise TrialError("no loopback addresses are free")
@@ -139,7 +145,7 @@
 descriptors = 1024
 
 [network]
-portRange = [{net.peer}, {net.peer}]
+portRange = [{net.peer(number)}, {net.peer(number)}]
 seeds = [{seeds}]
 zones = {{ {", ".join(f'{zone} = "yard"' for zone in ZONES)} }}
 
