The soak's cuts last longer and its tenants send to limiters that are cut off

Change: cuts of 1 to 12 s, tenants that are idle for up to 5 s and active for up to 9 s, their clients first at a limiter that is cut off.

--- a/larklb/lab/soak.py
+++ b/larklb/lab/soak.py
@@ -51,7 +51,7 @@
 CLIENTS = 14
 DOWN_S = (0.2, 1.0)  # time between the end and the restart of a process, (min, max)
 # How long a process is suspended, and how long a limiter is cut off from the others, (min, max).
-FREEZE_S, CUT_S = (0.2, 2.0), (1.0, 7.0)
+FREEZE_S, CUT_S = (0.2, 2.0), (1.0, 12.0)
 # With more limiters there are no relays between them, and so no cuts.
 MAX_RELAYED_LIMITERS = 16
 DEFAULT_DURATION_S = 8.0
@@ -94,9 +94,16 @@
             for n in range(CLIENTS)
         ]
         self.loads = [
-            TenantLoad(allowance, self.net, random.Random(seed * 1_000 + 500 + n), self._ready_limiters)
+            TenantLoad(
+                allowance,
+                self.net,
+                random.Random(seed * 1_000 + 500 + n),
+                self._ready_limiters,
+                lambda: sorted(self.cut_off),
+            )
             for n, allowance in enumerate(ALLOWANCES)
         ]
+        self.cut_off: set[int] = set()
         # Kills by limiter and time, and the times at which one was suspended.
         self.kills: list[tuple[int, float]] = []
         self.restarting: set[int] = set()
@@ -252,10 +259,12 @@
         others = range(CORES) if rng.random() < 0.5 else range(self.net.limiters)
         self.counts["cut"] += 1
         pairs = self.relays.cut(i, others)
+        self.cut_off.add(i)
         try:
             await asyncio.sleep(rng.uniform(*CUT_S))
         finally:
             self.relays.join(pairs)
+            self.cut_off.discard(i)
 
     async def _amend(self, rng: random.Random) -> None:
         route = {**QUOTA_CONFIGURATION["hosts"][0]["paths"][1], "timeoutMs": rng.randrange(3_500, 4_500)}
--- a/larklb/lab/soak_quotas.py
+++ b/larklb/lab/soak_quotas.py
@@ -20,7 +20,7 @@
 ALLOWANCES = (Allowance("ketch", 25.0, 25.0), Allowance("dinghy", 8.0, 8.0))
 CLIENTS_PER_TENANT = 8
 # How long a tenant is idle, and how long it sends, (min, max).
-IDLE_S, ACTIVE_S = (0.1, 4.0), (0.5, 5.0)
+IDLE_S, ACTIVE_S = (0.1, 5.0), (0.5, 9.0)
 # Fraction of the active times in which all clients of a tenant send to one limiter first.
 SAME_LIMITER_FRACTION = 0.6
 # Fraction of the refused requests after which a client turns to another limiter.
@@ -57,12 +57,15 @@
 
 @define(eq=False)
 class TenantLoad:
-    """The changing load of one tenant; ``ready`` returns the limiters that take new clients."""
+    """The changing load of one tenant.
+
+    ``ready`` returns the limiters that take new clients, ``cut_off`` those that are cut off from others."""
 
     allowance: Allowance
     net: Net
     rng: random.Random
     ready: Callable[[], list[int]]
+    cut_off: Callable[[], list[int]]
     active: bool = False
     # The limiter to which all clients send first, if any.
     target: int | None = None
@@ -98,8 +101,9 @@
         while clock() < until:
             self.active = False
             await asyncio.sleep(self.rng.uniform(*IDLE_S))
-            same_limiter = self.rng.random() < SAME_LIMITER_FRACTION
-            self.target = self.rng.randrange(self.net.limiters) if same_limiter else None
+            self.target = None
+            if self.rng.random() < SAME_LIMITER_FRACTION:
+                self.target = self.rng.choice(self.cut_off() or self.ready())
             self.active = True
             await asyncio.sleep(self.rng.uniform(*ACTIVE_S))
         await asyncio.gather(*clients)
