The status of an owner shows the tokens of all shares

What callers saw: nothing yet; an idle owner would have shown a quarter of the burst as what is left. Change: the row counts the withheld shares' tokens too; apart is described as what it counts now. No decision changes.

--- a/larklb/admission/quotas.py
+++ b/larklb/admission/quotas.py
@@ -508,7 +508,7 @@
                 {
                     "tenant": tenant,
                     "role": "owner",
-                    "tokens": round(owned.bucket.tokens, 3),
+                    "tokens": round(owned.bucket.tokens + owned.shares.pool, 3),
                     "rate": owned.bucket.rate,
                     "burst": owned.bucket.burst,
                     "apart": self._limiter_count() - len(owned.shares.used),
--- a/larklb/cli/system_metrics.py
+++ b/larklb/cli/system_metrics.py
@@ -64,7 +64,7 @@
                  "(owner) or a slice of it (asker).", "tokens"),
                 ("larklb_quota_rate", "Requests a second that the tenant has, as known here.", "rate"),
                 ("larklb_quota_burst", "Burst that the tenant has, as known here.", "burst"),
-                ("larklb_quota_apart", "At the owner: limiters whose parts are set aside.", "apart"),
+                ("larklb_quota_apart", "At the owner: limiters whose parts it may not use now.", "apart"),
                 ("larklb_quota_untold", "At an asker: requests let in that the owner wasn't told of yet.",
                  "untold")):
             yield gauge(name, text, ("node", "tenant", "role"),
