Leases of shares last 500 ms, so that restarted limiters grant again once they know the ring

Cause: a process that restarted grants nothing for as long as a lease, 1,050 ms, and the ring is known before that. Change: 500 ms; the request is repeated after 100 ms.

--- a/larklb/admission/share_leases.py
+++ b/larklb/admission/share_leases.py
@@ -19,7 +19,7 @@
 
 # How long a lease is valid, at the base values of ``consensus.timing``.  It ends before the other limiters
 # can have removed a limiter from their rings (``membership.members.LEASE_MS``).
-LEASE_DURATION_MS = 1_000.0
+LEASE_DURATION_MS = 500.0
 # Clocks may differ in rate by this fraction.
 CLOCK_DRIFT = 0.05
 # Fraction of its burst, and least number of tokens, that an owner may use before any share is leased to it.
@@ -28,7 +28,7 @@
 # A lease is requested while the bucket holds less than one token and this fraction of the burst.
 LOW_BURST_FRACTION = 0.125
 # Time until an unanswered request for a lease is repeated; doubled with each repetition.
-REQUEST_BACKOFF_MS = 150.0
+REQUEST_BACKOFF_MS = 100.0
 MAX_REQUEST_BACKOFF_MS = 1_200.0
 # A lease is renewed once less than this fraction of its duration is left.
 RENEWAL_FRACTION = 0.5
--- a/larklb/lab/soak.py
+++ b/larklb/lab/soak.py
@@ -31,6 +31,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from pathlib import Path
 
 from attrs import define, field
@@ -191,13 +192,17 @@
         self.clients.killed[i] = clock()
         if signal_number is signal.SIGKILL:
             self.kills.append((i, clock()))
-        process.send_signal(signal_number)
+        if process.returncode is not None:
+            self.broken.append(Violation("end", f"limiter-{i} ended by itself: {self.last_log_line(i)}"))
+        with suppress(ProcessLookupError):
+            process.send_signal(signal_number)
         try:
             await asyncio.wait_for(process.wait(), GRACE_S + 1.5)
         except TimeoutError:
             self.broken.append(Violation("end", f"limiter-{i} runs on after its grace"))
             self.kills.append((i, clock()))
-            process.kill()
+            with suppress(ProcessLookupError):
+                process.kill()
             await process.wait()
         if signal_number is signal.SIGTERM and process.returncode not in expected_codes:
             self.broken.append(
@@ -221,15 +226,21 @@
 
     async def _hang_up(self, rng: random.Random) -> None:
         i = rng.randrange(self.net.limiters)
-        # A process that has just started doesn't handle signals yet.
-        if i not in self.restarting and (await self.status(i, calls.COUNTS)).get("ready"):
+        if await self._is_undisturbed(i):
             self.counts["SIGHUP"] += 1
             self.processes[i].send_signal(signal.SIGHUP)
 
+    async def _is_undisturbed(self, i: int) -> bool:
+        """Returns whether a process is ready, and is neither being restarted nor suspended.
+
+        A process that has just started doesn't handle signals yet."""
+        ready = (await self.status(i, calls.COUNTS)).get("ready")
+        return bool(ready) and i not in self.restarting and self.processes[i].returncode is None
+
     async def _freeze(self, rng: random.Random) -> None:
         """Suspends a process for a while; what its clients see meanwhile counts like a kill."""
         i, clock = rng.randrange(self.net.limiters), asyncio.get_running_loop().time
-        if i in self.restarting or not (await self.status(i, calls.COUNTS)).get("ready"):
+        if not await self._is_undisturbed(i):
             return
         self.restarting.add(i)
         process, until = self.processes[i], clock() + rng.uniform(*FREEZE_S)
@@ -322,7 +333,12 @@
     def _gone(request: ClientRequest, bound: float, runs: list[Run]) -> Iterator[Violation]:
         for run in runs:
             if run.started_at > bound or request.safe and (run.ended_at is None or run.ended_at > bound):
-                yield Violation("gone", request.path)
+                work = "-" if run.ended_at is None else f"{run.ended_at:.3f}"
+                yield Violation(
+                    "gone",
+                    f"{request.path} at limiter-{request.limiter}: sent {request.sent_at:.3f}, closed "
+                    f"{request.closed_at:.3f}, run {run.started_at:.3f} to {work}",
+                )
 
     async def _check_settled(self) -> None:
         if not await self.wait_until("all limiters are there", RECOVERY_TIMEOUT_S, self.all_converged):
--- a/larklb/lab/system.py
+++ b/larklb/lab/system.py
@@ -320,7 +320,8 @@
             try:
                 await asyncio.wait_for(process.wait(), GRACE_S + 2.0)
             except TimeoutError:
-                process.kill()
+                with suppress(ProcessLookupError):
+                    process.kill()
                 await process.wait()
                 self.check(False, "a limiter had to be killed in the end")
 
