An owner requests at most twelve leases at a time

Cause: the log lines on quotas show refusals by copy and slice, at limiters whose asks weren't answered in time: an owner sent requests to 67 limiters at once and handled 67 answers before the asks that had come meanwhile. Change: twelve at a time, 15 ms apart. Evidence: test_admission and test_quota_faults pass (116).

--- a/larklb/admission/quotas.py
+++ b/larklb/admission/quotas.py
@@ -66,6 +66,7 @@
     LOW_BURST_FRACTION,
     RENEWAL_FRACTION,
     REQUEST_BACKOFF_MS,
+    REQUEST_INTERVAL_MS,
     LeaseRequest,
     ShareGrants,
     unleased_tokens,
@@ -891,7 +892,7 @@
         """Note that an owned tenant needs more shares."""
         if not owned.ownership_lost and len(self._lease_due) < MAX_DUE_TENANTS:
             self._lease_due.add(owned.tenant)
-            owned.next_request_at = now + REQUEST_BACKOFF_MS / 2
+            owned.next_request_at = now + REQUEST_INTERVAL_MS
 
     def _grant_leases(self, now: float, sender: int, message: dict[str, Any]) -> dict[str, Any] | None:
         """Lease this limiter's shares to a limiter that owns the tenants by this limiter's ring too."""
--- a/larklb/admission/share_leases.py
+++ b/larklb/admission/share_leases.py
@@ -30,6 +30,10 @@
 # Time until an unanswered request for a lease is repeated; doubled with each repetition.
 REQUEST_BACKOFF_MS = 100.0
 MAX_REQUEST_BACKOFF_MS = 1_200.0
+# Leases requested at one time, so that the requests and their answers don't delay other work, and the time
+# between two such times.
+MAX_REQUESTS_AT_ONCE = 12
+REQUEST_INTERVAL_MS = 15.0
 # A lease is renewed once less than this fraction of its duration is left.
 RENEWAL_FRACTION = 0.5
 # Tenants whose shares a limiter leases; beyond this number the oldest lease is forgotten.
@@ -203,9 +207,13 @@
         return holders
 
     def due_requests(self, now: float, numbers: Iterable[int], duration_ms: float) -> list[int]:
-        """Returns which of the limiters are to be asked for a lease now, and notes that they are."""
-        due = []
+        """Returns which of the limiters are to be asked for a lease now, and notes that they are.
+
+        They are MAX_REQUESTS_AT_ONCE at most."""
+        due: list[int] = []
         for number in numbers:
+            if len(due) >= MAX_REQUESTS_AT_ONCE:
+                break
             if self.leases.get(number, -math.inf) - now > RENEWAL_FRACTION * duration_ms:
                 continue
             request = self.requests.setdefault(number, LeaseRequest())
