Leases are requested until a bucket has enough, and last 1,500 ms; asks last 500 ms

Cause: further requests were sent only with further requests of the tenant, so that a small tenant never held more than a few shares; and leases of 500 ms, as long as a restarted limiter waits, ended before the rest was leased. Change: a timer goes on with the requests until the bucket holds half its burst and two tokens, or all are asked; requested leases last 1,500 ms, asks and the wait after a restart stay at 500 and 525 ms.

--- a/larklb/admission/quotas.py
+++ b/larklb/admission/quotas.py
@@ -62,13 +62,15 @@
     Slice,
 )
 from larklb.admission.share_leases import (
-    LEASE_DURATION_MS,
-    LOW_BURST_FRACTION,
+    MAX_REQUESTS_AT_ONCE,
     RENEWAL_FRACTION,
     REQUEST_BACKOFF_MS,
     REQUEST_INTERVAL_MS,
+    LeaseDurations,
     LeaseRequest,
     ShareGrants,
+    enough_tokens,
+    low_tokens,
     unleased_tokens,
 )
 from larklb.quota.breaker import CircuitBreaker
@@ -143,7 +145,7 @@
         *,
         first_start: bool,
         bound: OvershootBound | None = None,
-        lease_duration_ms: float = LEASE_DURATION_MS,
+        lease_durations: LeaseDurations | None = None,
     ) -> None:
         """Create the state at the time ``now``.
 
@@ -173,10 +175,12 @@
         self._config_version = 0
         self._allowances: dict[str, Allowance] = {}
         self._log = QuotaLog(self._bound.window_s * 1000.0)
-        self._grants = ShareGrants.at_start(now, lease_duration_ms, first_start=first_start)
-        # Owned tenants that need more shares, and messages that release leases, each with its receiver.
-        self._lease_due: set[str] = set()
+        self._grants = ShareGrants.at_start(now, lease_durations or LeaseDurations(), first_start=first_start)
+        # Owned tenants that need more shares, in the order in which these are requested, and messages that
+        # release leases, each with its receiver.
+        self._lease_due: dict[str, None] = {}
         self._releases: list[tuple[int, dict[str, Any]]] = []
+        self._next_lease_requests_at = -math.inf
         # When a message of any other limiter last arrived.
         self._last_heard_at = now
 
@@ -298,7 +302,7 @@
             "spent": tenant_slice.spent,
             "heard": tenant_slice.acknowledged,
         }
-        held_for = self._grants.grant(now, tenant, owner)
+        held_for = self._grants.grant_ask(now, tenant, owner)
         if held_for > -RESERVATION_MS:
             message["held"] = held_for
         age = now - tenant_slice.copied_at
@@ -440,22 +444,23 @@
     def lease_messages(self, now: float) -> list[tuple[int, dict[str, Any]]]:
         """Return the messages that request or release leases, each with the ring number of its receiver.
 
-        To be called after each request, message and change of the ring; the replies go to ``handle_reply``.
+        To be called after each request, message and change of the ring, and at ``next_lease_messages_at``;
+        the replies go to ``handle_reply``.
         """
         messages, self._releases = self._releases, []
         due: dict[int, list[str]] = {}
-        for tenant in self._lease_due:
-            owned = self._owned.get(tenant)
-            if owned is None or owned.ownership_lost or self._owner(tenant) != self._own_number:
-                continue
-            recent = now - RENEWAL_FRACTION * self._grants.duration_ms
-            asking = {
-                n for n, asker in owned.askers.items() if asker.reserved or asker.last_heard_at > recent
-            }
-            others = (n for n in self._ring if n != self._own_number and n not in asking)
-            for number in owned.shares.due_requests(now, others, self._grants.duration_ms):
+        remaining = MAX_REQUESTS_AT_ONCE if now >= self._next_lease_requests_at else 0
+        for tenant in list(self._lease_due):
+            if remaining <= 0:
+                break
+            numbers = self._due_lease_requests(now, tenant, remaining)
+            if len(numbers) < remaining:
+                del self._lease_due[tenant]
+            remaining -= len(numbers)
+            for number in numbers:
                 due.setdefault(number, []).append(tenant)
-        self._lease_due.clear()
+        if due:
+            self._next_lease_requests_at = now + REQUEST_INTERVAL_MS
         for number, tenants in due.items():
             for start in range(0, len(tenants), MAX_LEASE_TENANTS):
                 part = tenants[start : start + MAX_LEASE_TENANTS]
@@ -463,6 +468,23 @@
                 messages.append((number, request | {"life": self._incarnation, "at": now}))
         return messages
 
+    def _due_lease_requests(self, now: float, tenant: str, limit: int) -> list[int]:
+        """Return the limiters that are to be asked for a lease of a tenant's shares now."""
+        owned = self._owned.get(tenant)
+        if owned is None or owned.ownership_lost or self._owner(tenant) != self._own_number:
+            return []
+        self._refresh(now, owned)
+        if owned.bucket.tokens >= enough_tokens(owned.bucket.burst):
+            return []
+        recent = now - RENEWAL_FRACTION * self._grants.durations.asked
+        current = {n for n, asker in owned.askers.items() if asker.reserved or asker.last_heard_at > recent}
+        others = [n for n in self._ring if n != self._own_number and n not in current]
+        return owned.shares.due_requests(now, others, self._grants.durations.requested, limit)
+
+    def next_lease_messages_at(self) -> float | None:
+        """Return when further requests for leases are due, None if there are none."""
+        return self._next_lease_requests_at if self._lease_due else None
+
     def expire(self, now: float) -> None:
         """Drop idle buckets, slices out of use, asks that will not be answered, and peers out of the ring.
 
@@ -782,7 +804,7 @@
         """Decide on one request by the bucket; take one of its tokens if the request is allowed."""
         self._refresh(now, owned)
         bucket = owned.bucket
-        if bucket.tokens < 1.0 + LOW_BURST_FRACTION * bucket.burst and now >= owned.next_request_at:
+        if bucket.tokens < low_tokens(bucket.burst) and now >= owned.next_request_at:
             self._note_lease_due(now, owned)
         if bucket.tokens < ONE_TOKEN:
             return QuotaDecision(False, max(1.0, bucket.wait_for(1.0) / max(bucket.part, 0.01)), decided_by)
@@ -859,7 +881,7 @@
                 until = held_until = -math.inf
             else:
                 # An ask is valid for as long as a lease.
-                until, held_until = asker.last_heard_at + self._grants.duration_ms, asker.held_until
+                until, held_until = asker.last_heard_at + self._grants.durations.asked, asker.held_until
             if held_until > now:
                 next_change = min(next_change, held_until)
             if held_until <= now and until > horizon:
@@ -891,8 +913,8 @@
     def _note_lease_due(self, now: float, owned: OwnedBucket) -> None:
         """Note that an owned tenant needs more shares."""
         if not owned.ownership_lost and len(self._lease_due) < MAX_DUE_TENANTS:
-            self._lease_due.add(owned.tenant)
-            owned.next_request_at = now + REQUEST_INTERVAL_MS
+            self._lease_due[owned.tenant] = None
+            owned.next_request_at = now + REQUEST_BACKOFF_MS / 2.0
 
     def _grant_leases(self, now: float, sender: int, message: dict[str, Any]) -> dict[str, Any] | None:
         """Lease this limiter's shares to a limiter that owns the tenants by this limiter's ring too."""
@@ -904,7 +926,7 @@
         granted = []
         for tenant in read_tenants(message):
             if sender in self._nodes and self._owner(tenant) == sender:
-                held_for = self._grants.grant(now, tenant, sender)
+                held_for = self._grants.grant_request(now, tenant, sender)
                 granted.append([tenant, max(-RESERVATION_MS, held_for)])
         return reply | {"t": granted, "life": read_integer(message, "life"), "at": read_number(message, "at")}
 
@@ -922,7 +944,7 @@
             if read_integer(message, "life") != self._incarnation or requested_at > now:
                 return
         self._peer(now, number).breaker = CircuitBreaker()
-        until = requested_at + self._grants.duration_ms
+        until = requested_at + self._grants.durations.requested
         for tenant, held_for in leases:
             owned = self._owned.get(tenant)
             if owned is None or owned.ownership_lost:
--- a/larklb/admission/share_leases.py
+++ b/larklb/admission/share_leases.py
@@ -17,16 +17,22 @@
 
 from attrs import define, field
 
-# How long a lease is valid, at the base values of ``consensus.timing``.  It ends before the other limiters
-# can have removed a limiter from their rings (``membership.members.LEASE_MS``).
-LEASE_DURATION_MS = 500.0
+# How long a requested lease is valid, at the base values of ``consensus.timing``.  It ends before the
+# other limiters can have removed a limiter from their rings (``membership.members.LEASE_MS``).
+REQUESTED_LEASE_MS = 1_500.0
+# How long an ask is valid as a lease.  Askers may use their shares themselves as soon as an ask is lost.
+ASKED_LEASE_MS = 500.0
 # Clocks may differ in rate by this fraction.
 CLOCK_DRIFT = 0.05
 # Fraction of its burst, and least number of tokens, that an owner may use before any share is leased to it.
 UNLEASED_BURST_FRACTION = 0.25
 MIN_UNLEASED_TOKENS = 4.0
-# A lease is requested while the bucket holds less than one token and this fraction of the burst.
-LOW_BURST_FRACTION = 0.125
+# Leases are requested once the bucket holds fewer tokens than this fraction of those that it may hold without
+# leases, until it holds ENOUGH_BURST_FRACTION of the burst and ENOUGH_TOKENS.
+LOW_FRACTION = 0.5
+MIN_LOW_TOKENS = 2.0
+ENOUGH_BURST_FRACTION = 0.5
+ENOUGH_TOKENS = 2.0
 # Time until an unanswered request for a lease is repeated; doubled with each repetition.
 REQUEST_BACKOFF_MS = 100.0
 MAX_REQUEST_BACKOFF_MS = 1_200.0
@@ -42,6 +48,18 @@
 GRANT_MEMORY_MS = 120_000.0
 
 
+@define(frozen=True)
+class LeaseDurations:
+    """How long leases are valid at the owner, in ms: one that was requested, and an ask."""
+
+    requested: float = REQUESTED_LEASE_MS
+    asked: float = ASKED_LEASE_MS
+
+    def scaled(self, factor: float) -> LeaseDurations:
+        """Returns the durations multiplied by ``factor``."""
+        return LeaseDurations(self.requested * factor, self.asked * factor)
+
+
 @define
 class Grant:
     """A limiter's lease of its share of one tenant's quota.
@@ -58,35 +76,44 @@
 class ShareGrants:
     """The leases that one limiter grants, by tenant.
 
-    ``duration_ms`` is that of a lease at the owner.  What a process granted before it restarted is unknown,
-    so a restarted limiter grants nothing before ``hold_until``."""
+    A process that restarted doesn't know what it granted before, and grants nothing before ``hold_until``."""
 
-    duration_ms: float
+    durations: LeaseDurations = field(factory=LeaseDurations)
     hold_until: float = -math.inf
     by_tenant: dict[str, Grant] = field(factory=dict)
 
     @classmethod
-    def at_start(cls, now: float, duration_ms: float, *, first_start: bool) -> ShareGrants:
+    def at_start(cls, now: float, durations: LeaseDurations, *, first_start: bool) -> ShareGrants:
         """Returns the grants of a process that starts now."""
-        hold_ms = -math.inf if first_start else _granted_duration(duration_ms)
-        return cls(duration_ms, now + hold_ms)
+        # Longer leases than those by asks have ended, or nearly so, when a restarted process knows the ring.
+        return cls(durations, -math.inf if first_start else now + _granted_duration(durations.asked))
+
+    def grant_request(self, now: float, tenant: str, owner: int) -> float:
+        """Leases the share of a tenant's quota to ``owner`` on its request; see ``grant_ask``."""
+        return self._grant(now, tenant, owner, self.durations.requested)
 
-    def grant(self, now: float, tenant: str, owner: int) -> float:
-        """Leases the share of a tenant's quota to ``owner``, unless another limiter still holds it.
+    def grant_ask(self, now: float, tenant: str, owner: int) -> float:
+        """Leases the share of a tenant's quota to ``owner``, which is about to be asked, unless another
+        limiter still holds it.
 
         Returns for how many ms another limiter still holds it, in which case nothing is granted.  A negative
         number tells how long ago the last lease to another one ended, -inf that there was none."""
+        return self._grant(now, tenant, owner, self.durations.asked)
+
+    def _grant(self, now: float, tenant: str, owner: int, duration_ms: float) -> float:
         grant = self.by_tenant.get(tenant)
         if grant is None:
             if len(self.by_tenant) >= MAX_GRANTS:
                 del self.by_tenant[next(iter(self.by_tenant))]
             grant = self.by_tenant[tenant] = Grant(owner, -math.inf, self.hold_until)
-        held_until = grant.other_until if grant.owner == owner else max(grant.other_until, grant.until)
-        if held_until > now:
-            return held_until - now
-        grant.owner, grant.other_until = owner, held_until
-        grant.until = now + _granted_duration(self.duration_ms)
-        return held_until - now
+        if grant.owner != owner:
+            held_until = max(grant.other_until, grant.until)
+            if held_until > now:
+                return held_until - now
+            grant.owner, grant.until, grant.other_until = owner, -math.inf, held_until
+        if grant.other_until <= now:
+            grant.until = max(grant.until, now + _granted_duration(duration_ms))
+        return grant.other_until - now
 
     def held_for(self, now: float, tenant: str) -> float:
         """Returns for how many ms another limiter still holds this limiter's share; 0 if none does."""
@@ -112,6 +139,16 @@
     return min(burst, max(MIN_UNLEASED_TOKENS, UNLEASED_BURST_FRACTION * burst))
 
 
+def low_tokens(burst: float) -> float:
+    """Returns the number of tokens below which an owner requests leases."""
+    return max(MIN_LOW_TOKENS, LOW_FRACTION * unleased_tokens(burst))
+
+
+def enough_tokens(burst: float) -> float:
+    """Returns the number of tokens with which an owner requests no further leases."""
+    return ENOUGH_BURST_FRACTION * burst + ENOUGH_TOKENS
+
+
 def _granted_duration(duration_ms: float) -> float:
     """Returns for how long a limiter considers its share leased when the owner does so for
     ``duration_ms``."""
@@ -206,13 +243,12 @@
         self.requests.clear()
         return holders
 
-    def due_requests(self, now: float, numbers: Iterable[int], duration_ms: float) -> list[int]:
-        """Returns which of the limiters are to be asked for a lease now, and notes that they are.
-
-        They are MAX_REQUESTS_AT_ONCE at most."""
+    def due_requests(self, now: float, numbers: Iterable[int], duration_ms: float, limit: int) -> list[int]:
+        """Returns which of the limiters are to be asked for a lease now, ``limit`` at most, and notes that
+        they are."""
         due: list[int] = []
         for number in numbers:
-            if len(due) >= MAX_REQUESTS_AT_ONCE:
+            if len(due) >= limit:
                 break
             if self.leases.get(number, -math.inf) - now > RENEWAL_FRACTION * duration_ms:
                 continue
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -27,7 +27,7 @@
 from larklb.admission.choice import ServerState
 from larklb.admission.quota_records import Allowance, OvershootBound
 from larklb.admission.quotas import Quotas
-from larklb.admission.share_leases import LEASE_DURATION_MS
+from larklb.admission.share_leases import LeaseDurations
 from larklb.balancing.choice import CapacityAwareSelector
 from larklb.balancing.estimates import Estimates
 from larklb.balancing.load import InFlight
@@ -164,7 +164,7 @@
             now,
             self.random.randrange(1 << 30),
             first_start=first_start,
-            lease_duration_ms=LEASE_DURATION_MS * self.subscriber.time_scale,
+            lease_durations=LeaseDurations().scaled(self.subscriber.time_scale),
             bound=OvershootBound(bounds.quota_window_ms / 1000.0, bounds.quota_overshoot, bounds.quota_slack),
         )
         self.quota_exchange = QuotaExchange(quotas, self.wheel, self.transport.send, self.count)
--- a/larklb/gateway/quota_exchange.py
+++ b/larklb/gateway/quota_exchange.py
@@ -68,6 +68,8 @@
         # Requests that await a reply, by the number of the ask.
         self.pending: dict[int, PendingDecision] = {}
         self.last_messages = self.last_log = -1e18
+        # Set while further requests for leases are due.
+        self.lease_timer: Cancellable | None = None
 
     def update_members(self, now: float, subscriber: Subscriber) -> None:
         """Takes over the ring from the local view of the limiters."""
@@ -124,6 +126,13 @@
     def _send_lease_messages(self, now: float) -> None:
         for number, message in self.quotas.lease_messages(now):
             self._send(number, message)
+        next_at = self.quotas.next_lease_messages_at()
+        if next_at is not None and self.lease_timer is None:
+            self.lease_timer = self.clock.after(next_at - now, self._continue_lease_messages)
+
+    def _continue_lease_messages(self) -> None:
+        self.lease_timer = None
+        self._send_lease_messages(self.clock.now())
 
     def _send(self, number: int, message: dict[str, Any]) -> None:
         if (address := self.addresses.get(number)) is not None:
--- a/larklb/lab/quota_world.py
+++ b/larklb/lab/quota_world.py
@@ -17,7 +17,7 @@
 
 from larklb.admission.quota_records import Allowance, OvershootBound, QuotaDecision
 from larklb.admission.quotas import ASKED, OWNER, Quotas
-from larklb.admission.share_leases import LEASE_DURATION_MS
+from larklb.admission.share_leases import LeaseDurations
 from larklb.gateway.messages import AnyMessage, QuotaMessage
 from larklb.gateway.quota_exchange import QuotaExchange
 from larklb.lab.control_world import Machine, Timer, World
@@ -130,7 +130,7 @@
             self.now,
             self.rng.randrange(1 << 30),
             first_start=self.bootstrap,
-            lease_duration_ms=LEASE_DURATION_MS * subscriber.time_scale,
+            lease_durations=LeaseDurations().scaled(subscriber.time_scale),
         )
         clock = MachineClock(self, machine, machine.incarnation)
         exchange = QuotaExchange(quotas, clock, machine.plane.send, Counter())
