The soak resumes what it suspended when it is ended, and tells how late it was itself

Cause: the signal's default ends the process without the steps that stop what it started; SIGTERM waits at a suspended process. Change: SIGTERM ends the run in order; suspended processes are resumed first; lag_ms tells the longest lateness of the process that has all clients and servers in it.

--- a/larklb/lab/soak.py
+++ b/larklb/lab/soak.py
@@ -15,6 +15,7 @@
     python -m larklb.lab.soak [--seeds N] [--first S] [--seconds T] [--jobs J] [--limiters L]
 
 prints one line per seed, and exits with 1 on any violation. The processes' logs of such a seed are retained.
+``lag_ms`` is the longest time that this process itself, with all clients and servers, was late.
 """
 
 from __future__ import annotations
@@ -49,6 +50,7 @@
 SLACK_S = 0.35  # additional time allowed for a loaded machine
 # A disconnect this shortly before or after a kill is attributed to the kill.
 KILL_WINDOW_S = 0.4
+LAG_INTERVAL_S = 0.05  # time between measurements of this process's lateness
 CLIENTS = 14
 DOWN_S = (0.2, 1.0)  # time between the end and the restart of a process, (min, max)
 # How long a process is suspended, and how long a limiter is cut off from the others, (min, max).
@@ -112,6 +114,8 @@
         self.version = int(QUOTA_CONFIGURATION["version"])
         self.counts: Counter[str] = Counter()
         self.broken: list[Violation] = []
+        # Processes that are suspended now.
+        self.suspended: set[asyncio.subprocess.Process] = set()
 
     def _ready_limiters(self) -> list[int]:
         return self.clients.ready() or list(range(self.net.limiters))
@@ -127,6 +131,7 @@
         """
         if self.relays is not None:
             await self.relays.start()
+        self.tasks.append(asyncio.ensure_future(self._measure_lag()))
         for server in self.servers:
             await server.start()
             self.tasks.append(asyncio.ensure_future(server.send_heartbeats()))
@@ -151,6 +156,22 @@
         await self._check_settled()
         return Result(self.seed, self.counts, self.broken)
 
+    async def _measure_lag(self) -> None:
+        clock = asyncio.get_running_loop().time
+        while True:
+            due_at = clock() + LAG_INTERVAL_S
+            await asyncio.sleep(LAG_INTERVAL_S)
+            self.counts["lag_ms"] = max(self.counts["lag_ms"], round((clock() - due_at) * 1000.0))
+
+    async def stop(self) -> None:
+        """Resumes suspended processes, and ends everything that was started."""
+        for process in self.suspended:
+            with suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+        await super().stop()
+        if self.relays is not None:
+            self.relays.stop()
+
     # Faults -----------------------------------------------------------------------------
 
     def _series(self, until: float) -> Iterator[asyncio.Future[None]]:
@@ -246,12 +267,14 @@
         process, until = self.processes[i], clock() + rng.uniform(*FREEZE_S)
         self.counts["SIGSTOP"] += 1
         process.send_signal(signal.SIGSTOP)
+        self.suspended.add(process)
         try:
             while clock() < until:
                 self.kills.append((i, clock()))
                 await asyncio.sleep(KILL_WINDOW_S / 2)
         finally:
             process.send_signal(signal.SIGCONT)
+            self.suspended.discard(process)
             self.kills.append((i, clock()))
             self.restarting.discard(i)
 
@@ -352,14 +375,17 @@
 
 async def _run_soak(folder: Path, seconds: float, seed: int, limiters: int) -> Result:
     soak = Soak(folder, seconds, seed, limiters)
+    play = asyncio.ensure_future(soak.play())
+    # Ended by a signal, it ends its processes too.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, play.cancel)
     try:
-        return await soak.play()
+        return await play
     except TrialError as error:
         return Result(seed, soak.counts, [*soak.broken, Violation("settled", str(error))])
+    except asyncio.CancelledError:
+        return Result(seed, soak.counts, [*soak.broken, Violation("fault", "ended by a signal")])
     finally:
         await soak.stop()
-        if soak.relays is not None:
-            soak.relays.stop()
 
 
 def play(seed: int, seconds: float = DEFAULT_DURATION_S, limiters: int = LIMITERS) -> Result:
