Quotas in modules of one job: state, slices, the owner's buckets, leases

Cause: the leases of shares came into the class that had all the rest. Runs in processes and the founding of a simulated installation stood twice and stand once (lab/parallel.py, QuotaWorld.found).

--- a/larklb/admission/quota_records.py
+++ b/larklb/admission/quota_records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import Any
+from typing import Any, Final
 
 from attrs import define, field
 
@@ -32,6 +32,12 @@
 # Fraction of ``OvershootBound.slack`` that the slices may use; the rest covers events that are noticed late.
 SLACK_FRACTION = 0.75
 
+# Values of ``QuotaDecision.decided_by``.
+OWNER: Final = "owner"
+ASKED: Final = "asked"
+COPY: Final = "copy"
+SLICE: Final = "slice"
+
 
 @define(frozen=True)
 class OvershootBound:
--- a/larklb/admission/quotas.py
+++ b/larklb/admission/quotas.py
@@ -29,161 +29,54 @@
 from __future__ import annotations
 
 import math
-import random
-from collections.abc import Iterable, Mapping, Sequence
-from typing import Any, Final, TypeVar
+from collections.abc import Iterable, Mapping
+from typing import Any, TypeVar
 
 from larklb.admission.errors import InvalidMessageError
-from larklb.admission.quota_log import MAX_LINES, QuotaLog, TenantState
+from larklb.admission.quota_leases import QuotaLeases
+from larklb.admission.quota_log import MAX_LINES, TenantState
 from larklb.admission.quota_messages import (
-    MAX_LEASE_TENANTS,
     MAX_NUMBER,
     read_integer,
-    read_leases,
     read_number,
     read_tenants,
     read_text,
 )
+from larklb.admission.quota_owner import NEW_BUCKET_MS, RESERVATION_MS, RING_CHANGE_MS
 from larklb.admission.quota_records import (
+    ASKED,
     MAX_TIMEOUT_MS,
-    NO_COPY_RATE_FRACTION,
+    OWNER,
     RELEASE_BACKOFF_MS,
-    SILENCE_MAX_MS,
-    SILENCE_MIN_MS,
+    SLICE,
     SLICE_VALID_MS,
     Allowance,
     Ask,
-    Asker,
-    OvershootBound,
-    OwnedBucket,
-    OwnerPeer,
     PendingAsk,
     QuotaDecision,
-    Slice,
-)
-from larklb.admission.share_leases import (
-    MAX_REQUESTS_AT_ONCE,
-    RENEWAL_FRACTION,
-    REQUEST_BACKOFF_MS,
-    REQUEST_INTERVAL_MS,
-    LeaseDurations,
-    LeaseRequest,
-    ShareGrants,
-    enough_tokens,
-    low_tokens,
-    unleased_tokens,
 )
+from larklb.admission.quota_state import RESTART_MS
 from larklb.quota.breaker import CircuitBreaker
-from larklb.quota.bucket import TokenBucket
-from larklb.quota.ring import digest, ring_owner
 
-# Tenants tracked at the same time, in each table.
-MAX_TENANTS = 200_000
 # Asks waiting for a reply; beyond this number the slice decides.
 MAX_PENDING_ASKS = 4096
-# Askers tracked for one tenant.
-MAX_ASKERS = 1024
 # A reply that arrives up to this long after the timeout still yields a round-trip time and a bucket copy.
 LATE_REPLY_MS = 2000.0
-# Up to this age of the bucket copy a decision by the slice is reported as COPY, afterwards as SLICE.
-RECENT_COPY_MS = 1000.0
-# How long the slice of a silent asker, or of a limiter that left the ring, stays reserved.  This is longer
-# than a slice is valid at the asker.  What is known of a peer outside the ring is kept for the same time.
-RESERVATION_MS = 120_000.0
 # A slice without a request for this long is released.
 SLICE_IDLE_MS = 1500.0
 MAX_RELEASE_BACKOFF_MS = 8000.0
 # Messages returned by one call of ``pending_messages``.
 MAX_MESSAGES = 64
-# Assumed gap between asks of an asker that has asked once, unless the tenant's rate implies a shorter one.
-INITIAL_GAP_MS = 500.0
-# Weight of the last gap in the moving average.
-GAP_WEIGHT = 0.125
-# A bucket created this soon after a change of the ring may have had another owner.  Also the idle time after
-# which the bucket of a tenant that this limiter doesn't own any more is dropped.
-RING_CHANGE_MS = 3000.0
-# A bucket created this soon after a restart may have existed before the restart.  Also the idle time after
-# which a full bucket of an owned tenant is dropped; a slice without a valid bucket copy from another limiter
-# is dropped after this time and the time in which the burst fills.
-RESTART_MS = 10_000.0
-# A bucket that may have had another owner or existed before starts with at most this fraction of its burst.
-MOVED_BURST_FRACTION = 0.25
-# Asks may lower the tokens of such a bucket to those of the asker's bucket copy for this long, during which
-# the bucket counts as recently moved.
-NEW_BUCKET_MS = 1000.0
-# Least time between two updates of a bucket's shares; leases count as ended this much earlier.
-SHARE_CHECK_INTERVAL_MS = 50.0
-# Tenants for which lease requests may be due at the same time.
-MAX_DUE_TENANTS = 1_000
-# Initial tokens of all limiters without a bucket copy together.
-NO_COPY_TOKENS = 10.0
-# Number of limiters assumed while the ring is unknown.
-ASSUMED_LIMITERS = 16
-# One token, less the rounding error of sums of fractions.
-ONE_TOKEN = 1.0 - 1e-9
-
-# Values of ``QuotaDecision.decided_by``.
-OWNER: Final = "owner"
-ASKED: Final = "asked"
-COPY: Final = "copy"
-SLICE: Final = "slice"
 
 T = TypeVar("T")
 
 
-class Quotas:
+class Quotas(QuotaLeases):
     """The quotas of all tenants as one limiter, ``node``, handles them.
 
     Times are milliseconds of one monotonic clock.  Messages are plain JSON objects.
     """
 
-    def __init__(
-        self,
-        node: str,
-        now: float,
-        seed: int,
-        *,
-        first_start: bool,
-        bound: OvershootBound | None = None,
-        lease_durations: LeaseDurations | None = None,
-    ) -> None:
-        """Create the state at the time ``now``.
-
-        ``first_start`` is False if this process restarts among running limiters: buckets that it creates soon
-        afterwards may have existed before.  ``seed`` determines the jitter of circuit breakers.
-        """
-        self._random = random.Random(seed)
-        self._bound = bound or OvershootBound()
-        # 48 bits, so that every JSON reader represents the number exactly.
-        self._incarnation = digest(f"{node} {seed} {now}") >> 16
-        self._node = node
-        self._restarting_until = -math.inf if first_start else now + RESTART_MS
-        self._ring_changed_at = -math.inf
-        self._own_number: int | None = None
-        # Nodes of the live limiters by ring number, and when the others left the ring.
-        self._nodes: dict[int, str] = {}
-        self._departed: dict[int, float] = {}
-        self._ring: Sequence[int] = ()
-        self._owners: dict[str, int] = {}
-        self._owned: dict[str, OwnedBucket] = {}
-        self._slices: dict[str, Slice] = {}
-        self._pending: dict[int, PendingAsk] = {}
-        # Pending asks that have not timed out.
-        self._pending_count = 0
-        self._peers: dict[int, OwnerPeer] = {}
-        self._last_ask_number = 0
-        self._config_version = 0
-        self._allowances: dict[str, Allowance] = {}
-        self._log = QuotaLog(self._bound.window_s * 1000.0)
-        self._grants = ShareGrants.at_start(now, lease_durations or LeaseDurations(), first_start=first_start)
-        # Owned tenants that need more shares, in the order in which these are requested, and messages that
-        # release leases, each with its receiver.
-        self._lease_due: dict[str, None] = {}
-        self._releases: list[tuple[int, dict[str, Any]]] = []
-        self._next_lease_requests_at = -math.inf
-        # When a message of any other limiter last arrived.
-        self._last_heard_at = now
-
     def set_limiters(self, now: float, numbers: dict[int, str], own_number: int | None) -> None:
         """Replace the ring: the nodes of the live limiters by ring number.
 
@@ -219,13 +112,6 @@
             self._release_leases(lost)
             self._log_changes(now, former_owners)
 
-    def _release_leases(self, lost: dict[int, list[str]]) -> None:
-        """Tell limiters whose shares this limiter used that it doesn't own these tenants any more."""
-        for number, tenants in lost.items():
-            for start in range(0, len(tenants), MAX_LEASE_TENANTS):
-                part = tenants[start : start + MAX_LEASE_TENANTS]
-                self._releases.append((number, {"k": "free", "t": part}))
-
     def _log_changes(self, now: float, former_owners: dict[str, str]) -> None:
         """Log the new ring, and the tenants with recent requests that have another owner by it."""
         self._log.ring_changed(self.ring_digest, len(self._ring), len(self._departed), self._own_number)
@@ -249,11 +135,6 @@
         self._refresh(now, owned)
         return TenantState(self.owner_node(tenant), self.ring_digest, owned.bucket.tokens, owned.bucket.part)
 
-    def owner_node(self, tenant: str) -> str:
-        """Return the node of the limiter that owns a tenant by this limiter's ring, "" if that is unknown."""
-        owner = self._owner(tenant)
-        return self._nodes[owner] if owner is not None else ""
-
     def set_allowances(self, now: float, version: int, allowances: dict[str, Allowance]) -> None:
         """Apply the configured allowances by tenant; a version older than the present one is ignored."""
         if version < self._config_version:
@@ -441,50 +322,6 @@
             )
         return messages
 
-    def lease_messages(self, now: float) -> list[tuple[int, dict[str, Any]]]:
-        """Return the messages that request or release leases, each with the ring number of its receiver.
-
-        To be called after each request, message and change of the ring, and at ``next_lease_messages_at``;
-        the replies go to ``handle_reply``.
-        """
-        messages, self._releases = self._releases, []
-        due: dict[int, list[str]] = {}
-        remaining = MAX_REQUESTS_AT_ONCE if now >= self._next_lease_requests_at else 0
-        for tenant in list(self._lease_due):
-            if remaining <= 0:
-                break
-            numbers = self._due_lease_requests(now, tenant, remaining)
-            if len(numbers) < remaining:
-                del self._lease_due[tenant]
-            remaining -= len(numbers)
-            for number in numbers:
-                due.setdefault(number, []).append(tenant)
-        if due:
-            self._next_lease_requests_at = now + REQUEST_INTERVAL_MS
-        for number, tenants in due.items():
-            for start in range(0, len(tenants), MAX_LEASE_TENANTS):
-                part = tenants[start : start + MAX_LEASE_TENANTS]
-                request = {"k": "hello", "ring": self.ring_digest, "t": part}
-                messages.append((number, request | {"life": self._incarnation, "at": now}))
-        return messages
-
-    def _due_lease_requests(self, now: float, tenant: str, limit: int) -> list[int]:
-        """Return the limiters that are to be asked for a lease of a tenant's shares now."""
-        owned = self._owned.get(tenant)
-        if owned is None or owned.ownership_lost or self._owner(tenant) != self._own_number:
-            return []
-        self._refresh(now, owned)
-        if owned.bucket.tokens >= enough_tokens(owned.bucket.burst):
-            return []
-        recent = now - RENEWAL_FRACTION * self._grants.durations.asked
-        current = {n for n, asker in owned.askers.items() if asker.reserved or asker.last_heard_at > recent}
-        others = [n for n in self._ring if n != self._own_number and n not in current]
-        return owned.shares.due_requests(now, others, self._grants.durations.requested, limit)
-
-    def next_lease_messages_at(self) -> float | None:
-        """Return when further requests for leases are due, None if there are none."""
-        return self._next_lease_requests_at if self._lease_due else None
-
     def expire(self, now: float) -> None:
         """Drop idle buckets, slices out of use, asks that will not be answered, and peers out of the ring.
 
@@ -553,102 +390,6 @@
             )
         return rows
 
-    def _limiter_count(self) -> int:
-        """Return the number of limiters that share each quota, with those that left the ring recently.
-
-        It is ASSUMED_LIMITERS while the ring is unknown.
-        """
-        return max(1, len(self._nodes) + len(self._departed)) if self._nodes else ASSUMED_LIMITERS
-
-    def _owner(self, tenant: str) -> int | None:
-        """Return the ring number of the tenant's owner, None while the ring is unknown."""
-        if not self._ring:
-            return None
-        owner = self._owners.get(tenant)
-        if owner is None:
-            if len(self._owners) >= MAX_TENANTS:
-                self._owners.clear()
-            owner = self._owners[tenant] = ring_owner(digest(tenant), self._ring)
-        return owner
-
-    @property
-    def ring_size(self) -> int:
-        """Number of limiters on the ring."""
-        return len(self._ring)
-
-    @property
-    def ring_digest(self) -> int:
-        """A number that is the same at limiters with the same ring."""
-        return digest(" ".join(map(str, self._ring))) >> 16
-
-    def _peer(self, now: float, number: int) -> OwnerPeer:
-        peer = self._peers.get(number)
-        if peer is None:
-            peer = self._peers[number] = OwnerPeer()
-        peer.last_used_at = now
-        return peer
-
-    # Asker side --------------------------------------------------------------------------
-
-    def _slice(self, now: float, allowance: Allowance) -> Slice:
-        """Return the tenant's slice, with the rate and burst of ``allowance``.
-
-        A slice that doesn't exist is created without a bucket copy, with at most one token.
-        """
-        tenant_slice = self._slices.get(allowance.tenant)
-        if tenant_slice is None:
-            if len(self._slices) >= MAX_TENANTS:
-                del self._slices[next(iter(self._slices))]
-            count = self._limiter_count()
-            tokens = min(1.0, NO_COPY_TOKENS / count, allowance.burst / count)
-            tenant_slice = self._slices[allowance.tenant] = Slice(
-                allowance.rate, allowance.burst, tokens, now, now, self._bound
-            )
-        elif tenant_slice.rate != allowance.rate or tenant_slice.burst != allowance.burst:
-            tenant_slice.fill(now, self._limiter_count())
-            tenant_slice.rate, tenant_slice.burst = allowance.rate, allowance.burst
-        return tenant_slice
-
-    def _decide_by_slice(self, now: float, tenant_slice: Slice) -> QuotaDecision:
-        """Decide on one request by the slice; take one of its tokens if the request is allowed."""
-        rate = tenant_slice.fill(now, self._limiter_count())
-        decided_by = COPY if now - tenant_slice.copied_at <= RECENT_COPY_MS else SLICE
-        if tenant_slice.tokens < ONE_TOKEN:
-            return QuotaDecision(
-                False, max(1.0, (1.0 - tenant_slice.tokens) / max(rate, 1e-6) * 1000.0), decided_by
-            )
-        tenant_slice.tokens -= 1.0
-        tenant_slice.spent += 1
-        return QuotaDecision(True, 0.0, decided_by)
-
-    def _release_confirmed(self, tenant: str, number: int) -> None:
-        """Invalidate the bucket copy of a slice whose release the owner has confirmed; limit its tokens.
-
-        ``number`` is that of the released ask.  Nothing changes if a later ask has brought another copy.
-        """
-        tenant_slice = self._slices.get(tenant)
-        if tenant_slice is not None and tenant_slice.ask_number == number:
-            tenant_slice.ask_number, tenant_slice.copied_at = -1, -math.inf
-            tenant_slice.tokens = min(tenant_slice.tokens, NO_COPY_TOKENS / self._limiter_count())
-
-    def _copy_to_slice(self, now: float, tenant: str, owned: OwnedBucket) -> None:
-        """Set the tenant's slice from this limiter's own bucket, which it no longer owns.
-
-        The slice has a valid bucket copy then, but no ask that brought it, and so is not released.
-        """
-        self._refresh(now, owned)
-        bucket = owned.bucket
-        tenant_slice = self._slice(now, Allowance(tenant, bucket.rate, bucket.burst))
-        count = self._limiter_count()
-        tenant_slice.tokens, tenant_slice.updated_at, tenant_slice.copied_at = (
-            max(0.0, min(bucket.burst, bucket.tokens)) / count,
-            now,
-            now,
-        )
-        tenant_slice.ask_number, tenant_slice.owner = -1, -1
-
-    # Owner side --------------------------------------------------------------------------
-
     def _answer(self, now: float, sender: int, message: dict[str, Any]) -> dict[str, Any] | None:
         """Apply a message of another limiter to the bucket and to the sender's account; return the reply.
 
@@ -737,301 +478,6 @@
             "spent": spent,
         }
 
-    def _get_owned(
-        self, now: float, allowance: Allowance, version: int, tokens_left: float | None
-    ) -> OwnedBucket:
-        """Return the bucket of a tenant, created if there is none.
-
-        A new bucket starts with at most ``tokens_left``, the tokens in an asker's bucket copy.
-        """
-        owned = self._owned.get(allowance.tenant)
-        if owned is None:
-            moved = now < self._restarting_until or now - self._ring_changed_at < RING_CHANGE_MS
-            tokens = allowance.burst * (MOVED_BURST_FRACTION if moved else 1.0)
-            tokens = min(tokens, self._take_own_copy(now, allowance.tenant))
-            if tokens_left is not None:
-                tokens = min(tokens, tokens_left)
-            # Limiters that left the ring may still use their slices on the other side of a partition.
-            tokens *= 1.0 - len(self._departed) / self._limiter_count()
-            if len(self._owned) >= MAX_TENANTS:
-                del self._owned[next(iter(self._owned))]
-                # If the dropped tenant returns, its new bucket must not start full.
-                self._ring_changed_at = now
-            bucket = TokenBucket(allowance.rate, allowance.burst, tokens, now, born=now, version=version)
-            owned = self._owned[allowance.tenant] = OwnedBucket(allowance.tenant, bucket, now, moved)
-            if moved:
-                owned.shares.withhold_all(now, self._ring)
-                bucket.tokens = min(tokens, max(1.0, allowance.burst / self._limiter_count()))
-            else:
-                # The bucket holds the tokens of all shares; those that aren't leased are withheld next.
-                owned.shares.used = set(self._ring)
-        elif version >= owned.bucket.version:
-            self._apply_allowance(now, owned, allowance, version)
-        if owned.ownership_lost and self._owner(allowance.tenant) == self._own_number:
-            # In the meantime another owner has admitted requests from a bucket of its own.
-            owned.ownership_lost, owned.recently_moved, owned.next_check_at, owned.bucket.born = (
-                False,
-                True,
-                -math.inf,
-                now,
-            )
-            owned.bucket.tokens = min(owned.bucket.fill(now), self._take_own_copy(now, allowance.tenant))
-            owned.shares.withhold_all(now, self._ring)
-        owned.last_used_at = now
-        return owned
-
-    def _take_own_copy(self, now: float, tenant: str) -> float:
-        """Estimate the tokens of the tenant's bucket from the slice that this limiter held as an asker.
-
-        The bucket copy of the slice is invalidated.  Returns infinity if it was not valid before.
-        """
-        tenant_slice = self._slices.get(tenant)
-        if tenant_slice is None or now - tenant_slice.copied_at > SLICE_VALID_MS:
-            return math.inf
-        tenant_slice.fill(now, self._limiter_count())
-        tenant_slice.ask_number, tenant_slice.copied_at = -1, -math.inf
-        return tenant_slice.tokens * self._limiter_count()
-
-    def _apply_allowance(self, now: float, owned: OwnedBucket, allowance: Allowance, version: int) -> None:
-        """Set the rate and burst of a bucket as in configuration version ``version``."""
-        bucket = owned.bucket
-        if (bucket.rate, bucket.burst) != (allowance.rate, allowance.burst):
-            self._refresh(now, owned)
-            bucket.change(now, allowance.rate, allowance.burst)
-        bucket.version = version
-
-    def _take_token(self, now: float, owned: OwnedBucket, decided_by: str) -> QuotaDecision:
-        """Decide on one request by the bucket; take one of its tokens if the request is allowed."""
-        self._refresh(now, owned)
-        bucket = owned.bucket
-        if bucket.tokens < low_tokens(bucket.burst) and now >= owned.next_request_at:
-            self._note_lease_due(now, owned)
-        if bucket.tokens < ONE_TOKEN:
-            return QuotaDecision(False, max(1.0, bucket.wait_for(1.0) / max(bucket.part, 0.01)), decided_by)
-        bucket.tokens -= 1.0
-        return QuotaDecision(True, 0.0, decided_by)
-
-    def _refresh(self, now: float, owned: OwnedBucket, *, force: bool = False) -> None:
-        """Fill the bucket at its part of the rate, and update the shares that it contains.
-
-        ``force`` updates them even if none can have changed yet.
-        """
-        bucket, shares = owned.bucket, owned.shares
-        self._fill(now, owned)
-        if force or now >= owned.next_check_at:
-            self._reserve_silent(now, owned)
-            self._update_shares(now, owned)
-        overflow = bucket.tokens - max(bucket.burst * bucket.part, unleased_tokens(bucket.burst))
-        if overflow > 0:
-            bucket.tokens -= overflow
-            shares.pool += overflow if shares.withheld else 0.0
-
-    def _fill(self, now: float, owned: OwnedBucket) -> None:
-        """Add what has accrued to the bucket and to the pool of the withheld shares."""
-        bucket, shares, count = owned.bucket, owned.shares, self._limiter_count()
-        bucket.fill(now)
-        # Reservations are accounted for by asker, not in the bucket's escrow.
-        bucket.escrow = 0.0
-        capacity = bucket.burst * min(1.0, (len(shares.used) + len(shares.withheld)) / count)
-        shares.accrue(now, bucket.rate / count / 1000.0, capacity - max(0.0, bucket.tokens))
-
-    def _reserve_silent(self, now: float, owned: OwnedBucket) -> None:
-        """Reserve the slices of askers that have become silent, as they may be deciding without this owner.
-
-        When an asker becomes silent, the bucket is also charged with all that the slice may have admitted
-        since the asker's last message: its part of the tokens in the owner's last reply, and of the rate
-        since that message.  The debt is limited to one burst.  An account is dropped after
-        ``RESERVATION_MS``, when the slice is no longer valid at the asker; nothing is added to the bucket
-        then.
-        """
-        bucket, count = owned.bucket, self._limiter_count()
-        owned.next_check_at = math.inf
-        for number, asker in list(owned.askers.items()):
-            silent_ms = now - asker.last_heard_at
-            if silent_ms > RESERVATION_MS:
-                del owned.askers[number]
-                continue
-            if not asker.reserved and silent_ms > asker.silence_timeout():
-                asker.reserved, asker.reserved_tokens = True, max(0.0, asker.tokens_reported) / count
-                possibly_used = asker.reserved_tokens + silent_ms * bucket.rate / count / 1000.0
-                bucket.tokens += owned.shares.take(now, number, math.inf, 0.0)
-                bucket.tokens = max(min(bucket.tokens, -bucket.burst), bucket.tokens - possibly_used)
-            owned.next_check_at = min(
-                owned.next_check_at,
-                asker.last_heard_at + (RESERVATION_MS if asker.reserved else asker.silence_timeout()),
-            )
-
-    def _update_shares(self, now: float, owned: OwnedBucket) -> None:
-        """Set the bucket's part of the quota (``bucket.part``) to the shares that this owner may use now.
-
-        These are its own share, unless another limiter still holds it, those of its askers and those leased
-        to it.
-        """
-        bucket, shares, horizon = owned.bucket, owned.shares, now + SHARE_CHECK_INTERVAL_MS
-        available, unavailable = set[int](), set[int]()
-        next_change = self._last_heard_at + SLICE_VALID_MS
-        next_change = next_change if next_change > now else math.inf
-        for number in self._ring:
-            asker = owned.askers.get(number)
-            if asker is not None and asker.reserved:
-                continue
-            if number == self._own_number:
-                until, held_until = math.inf, now + self._grants.held_for(now, owned.tenant)
-            elif asker is None:
-                until = held_until = -math.inf
-            else:
-                # An ask is valid for as long as a lease.
-                until, held_until = asker.last_heard_at + self._grants.durations.asked, asker.held_until
-            if held_until > now:
-                next_change = min(next_change, held_until)
-            if held_until <= now and until > horizon:
-                available.add(number)
-                next_change = min(next_change, until)
-            else:
-                unavailable.add(number)
-        minimum = unleased_tokens(bucket.burst)
-        bucket.tokens = shares.update(now, horizon, available, unavailable, bucket.tokens, minimum)
-        next_change = min(next_change, shares.next_expiry())
-        owned.next_check_at = min(owned.next_check_at, max(horizon, next_change))
-        if owned.recently_moved and now - bucket.born > NEW_BUCKET_MS:
-            owned.recently_moved = False
-        self._set_part(now, owned)
-
-    def _set_part(self, now: float, owned: OwnedBucket) -> None:
-        used: float = len(owned.shares.used)
-        if self._own_number in owned.shares.used and now - self._last_heard_at > SLICE_VALID_MS:
-            # The others may have ceased to reserve this limiter's share.
-            used -= (1.0 - NO_COPY_RATE_FRACTION) * (len(self._ring) > 1)
-        owned.bucket.part = min(1.0, used / self._limiter_count())
-
-    def _ring_part(self) -> float:
-        """Return the part of each quota that the limiters of the ring have, without those that left it."""
-        return len(self._ring) / self._limiter_count() if self._ring else 1.0
-
-    # Leases of shares --------------------------------------------------------------------
-
-    def _note_lease_due(self, now: float, owned: OwnedBucket) -> None:
-        """Note that an owned tenant needs more shares."""
-        if not owned.ownership_lost and len(self._lease_due) < MAX_DUE_TENANTS:
-            self._lease_due[owned.tenant] = None
-            owned.next_request_at = now + REQUEST_BACKOFF_MS / 2.0
-
-    def _grant_leases(self, now: float, sender: int, message: dict[str, Any]) -> dict[str, Any] | None:
-        """Lease this limiter's shares to a limiter that owns the tenants by this limiter's ring too."""
-        if self._own_number is None or not read_integer(message, "ring"):
-            return None
-        reply = {"k": "hi", "n": self._own_number, "ring": self.ring_digest}
-        if "t" not in message:  # an earlier version
-            return reply
-        granted = []
-        for tenant in read_tenants(message):
-            if sender in self._nodes and self._owner(tenant) == sender:
-                held_for = self._grants.grant_request(now, tenant, sender)
-                granted.append([tenant, max(-RESERVATION_MS, held_for)])
-        return reply | {"t": granted, "life": read_integer(message, "life"), "at": read_number(message, "at")}
-
-    def _handle_leases(self, now: float, number: int, message: dict[str, Any]) -> None:
-        """Use the shares that another limiter has leased to this owner.  Raises InvalidMessageError."""
-        if number not in self._nodes:
-            return
-        requested_at = now
-        if "t" not in message:  # an earlier version, which only tells its ring
-            agreed = read_integer(message, "ring") == self.ring_digest
-            leases = [(t, -RESERVATION_MS) for t, o in self._owned.items() if number in o.shares.requests]
-            leases = leases if agreed else []
-        else:
-            leases, requested_at = read_leases(message), read_number(message, "at")
-            if read_integer(message, "life") != self._incarnation or requested_at > now:
-                return
-        self._peer(now, number).breaker = CircuitBreaker()
-        until = requested_at + self._grants.durations.requested
-        for tenant, held_for in leases:
-            owned = self._owned.get(tenant)
-            if owned is None or owned.ownership_lost:
-                continue
-            asker = owned.askers.get(number)
-            if asker is not None and asker.reserved:
-                continue
-            if held_for > 0:
-                owned.shares.requests[number] = LeaseRequest(now + min(held_for, REQUEST_BACKOFF_MS))
-            elif until > now:
-                owned.shares.requests[number] = LeaseRequest(now + REQUEST_BACKOFF_MS)
-                owned.shares.leases[number] = max(until, owned.shares.leases.get(number, -math.inf))
-                owned.next_check_at = min(owned.next_check_at, until)
-                self._take_share(now, owned, number, held_for)
-
-    def _take_share(self, now: float, owned: OwnedBucket, number: int, held_for: float) -> None:
-        """Add the share of a limiter, which asks this owner or has leased it, to the bucket.
-
-        ``held_for`` is for how many ms another owner still holds the share; a negative number tells how long
-        ago the last lease to another one ended.
-        """
-        if held_for > 0 or number not in self._nodes or number in owned.shares.used:
-            return
-        self._fill(now, owned)
-        per_ms = owned.bucket.rate / self._limiter_count() / 1000.0
-        owned.bucket.tokens += owned.shares.take(now, number, -held_for, per_ms)
-        owned.shares.used.add(number)
-        self._set_part(now, owned)
-
-    def _apply_usage(
-        self,
-        now: float,
-        owned: OwnedBucket,
-        sender: int,
-        incarnation: int,
-        spent: int,
-        acknowledged: int,
-        held_tokens: float | None = None,
-    ) -> None:
-        """Account for the usage that an asker reports, in the bucket and in the asker's account.
-
-        ``spent`` is the number of requests that the asker's slice has admitted since its process
-        (``incarnation``) started, and ``acknowledged`` the part of it that an owner has accounted for.  The
-        rest is deducted from the bucket, whose debt is limited to one burst.  A limiter of the ring that has
-        no account gets one (``MAX_ASKERS`` at most), and nothing is deducted.
-
-        If the slice was reserved, the bucket was charged with all of it already.  In this case the unused
-        rest is added to the bucket and the reservation ends.  It is not more than ``held_tokens``, the tokens
-        that the slice still has, which is given if the asker's bucket copy is that of another owner.  Nothing
-        is added if the asker has restarted, as what its previous process admitted is unknown.
-        """
-        self._refresh(now, owned)
-        bucket, count = owned.bucket, self._limiter_count()
-        asker = owned.askers.get(sender)
-        if asker is None:
-            if len(owned.askers) < MAX_ASKERS and sender in self._nodes and sender != self._own_number:
-                mean_gap_ms = 1000.0 * count / bucket.rate if bucket.rate > 0 else INITIAL_GAP_MS
-                owned.askers[sender] = Asker(now, incarnation, spent, min(INITIAL_GAP_MS, mean_gap_ms))
-                owned.next_check_at = min(owned.next_check_at, now + SILENCE_MIN_MS)
-            # Nothing is deducted for an asker without an account: the previous owner had reserved its slice.
-            return
-        accounted = max(asker.spent, acknowledged) if incarnation == asker.incarnation else 0
-        unaccounted = max(0, spent - accounted)
-        if asker.reserved:
-            # Without the reservation the bucket would have stopped filling at its burst, so no more than the
-            # slice's part of the burst is added.  What accrues in SILENCE_MAX_MS comes on top, so that all of
-            # a short silence is restored.
-            tokens_per_ms = bucket.rate / count / 1000.0
-            withheld_tokens = asker.reserved_tokens + (now - asker.last_heard_at) * tokens_per_ms
-            max_restored = bucket.burst / count + SILENCE_MAX_MS * tokens_per_ms
-            restored = (
-                0.0 if incarnation != asker.incarnation else min(withheld_tokens - unaccounted, max_restored)
-            )
-            if held_tokens is not None:
-                restored = min(restored, held_tokens)
-            bucket.tokens = min(
-                bucket.burst, max(min(bucket.tokens, -bucket.burst), bucket.tokens + restored)
-            )
-        elif unaccounted:
-            bucket.tokens = max(min(bucket.tokens, -bucket.burst), bucket.tokens - unaccounted)
-        if not asker.reserved:
-            asker.mean_gap_ms += GAP_WEIGHT * (now - asker.last_heard_at - asker.mean_gap_ms)
-        was_reserved = asker.reserved
-        asker.last_heard_at, asker.incarnation, asker.spent, asker.reserved = now, incarnation, spent, False
-        if was_reserved:
-            self._refresh(now, owned, force=True)
-
 
 def _select(table: Mapping[str, T], only: str | None) -> Iterable[tuple[str, T]]:
     """Return the items of a table by tenant, or only that of one tenant."""
--- a/larklb/lab/control_faults.py
+++ b/larklb/lab/control_faults.py
@@ -34,7 +34,7 @@
 import multiprocessing
 import sys
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from contextlib import nullcontext
 
 from attrs import define
@@ -42,6 +42,7 @@
 from larklb.lab.control_breaks import BREAKS, without
 from larklb.lab.control_day import LENGTH_MS, SCENARIOS, Day
 from larklb.lab.control_history import InvariantViolationError
+from larklb.lab.parallel import play_in_processes
 
 MAX_DETECTION_DAYS = 300  # a disabled guard must be detected within so many days
 SHOWN_STEPS = 60  # last steps printed of a failed day
@@ -118,19 +119,10 @@
     return result, day
 
 
-def play_all(jobs: int, all_tasks: Iterable[Task]) -> Iterator[Outcome]:
-    """Runs all tasks and yields their outcomes as they complete."""
-    if jobs <= 1:
-        yield from map(play_task, all_tasks)
-        return
-    with multiprocessing.Pool(jobs) as pool:
-        yield from pool.imap_unordered(play_task, all_tasks)
-
-
 def run_days(days: int, seed: int, scenario: str, cores: int, jobs: int) -> int:
     """Runs days until one fails, and returns the exit status."""
     started_at, count = time.monotonic(), 0
-    for result in play_all(jobs, generate_tasks(days, seed, scenario, cores)):
+    for result in play_in_processes(play_task, jobs, generate_tasks(days, seed, scenario, cores)):
         count += 1
         if result.reason:
             return _report_failure(result)
@@ -160,7 +152,8 @@
     """Returns after how many days a disabled guard was detected, or None."""
     scenario = BREAKS[guard].scenario
     for count, result in enumerate(
-        play_all(jobs, generate_tasks(days, seed, scenario, BREAKS[guard].cores, guard)), 1
+        play_in_processes(play_task, jobs, generate_tasks(days, seed, scenario, BREAKS[guard].cores, guard)),
+        1,
     ):
         if result.reason:
             print(
--- a/larklb/lab/quota_faults.py
+++ b/larklb/lab/quota_faults.py
@@ -14,20 +14,17 @@
 
 import argparse
 import logging
-import multiprocessing
 import sys
-from collections.abc import Callable, Iterator
-from functools import partial
+from collections.abc import Callable
 
 from attrs import define, field
 
 from larklb.admission.quota_records import Allowance
-from larklb.lab.control_callers import Operators
 from larklb.lab.control_world import Machine
+from larklb.lab.parallel import play_in_processes
 from larklb.lab.quota_world import DEADLINE_MS, FURTHER_TRIES, QuotaWorld, TenantRecord
 
 LENGTH_MS = 40_000.0
-FOUNDING_MS = 8_000.0  # time until the tenants begin
 # Quotas of the tenants, (requests per second, burst).
 QUOTAS = ((25.0, 25.0), (63.0, 63.0), (8.0, 8.0), (10.0, 100.0))
 TENANTS_PER_DAY = 2
@@ -57,7 +54,6 @@
     seed: int
     fault: str = ""
     world: QuotaWorld = field(init=False)
-    operators: Operators = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         allowances = [
@@ -65,16 +61,11 @@
             for index in range(TENANTS_PER_DAY)
         ]
         self.world = QuotaWorld(self.seed, allowances)
-        self.operators = Operators(self.world)
 
     def play(self) -> list[TenantRecord]:
         """Runs the day; returns the records of the tenants for which the rule was broken."""
         world = self.world
-        for machine in world.machines.values():
-            world.at(world.rng.uniform(0, 300), partial(world.start, machine))
-        self.operators.order(0, 1)
-        world.run(FOUNDING_MS)
-        world.bootstrap = False
+        world.found()
         end = world.now + LENGTH_MS
         for tenant in world.records:
             self._begin_phase(tenant, end)
@@ -284,15 +275,6 @@
     return play_day(task)[0]
 
 
-def play_all(jobs: int, tasks: list[Task]) -> Iterator[Outcome]:
-    """Runs all tasks and yields their outcomes in their order."""
-    if jobs <= 1:
-        yield from map(play_task, tasks)
-        return
-    with multiprocessing.Pool(jobs) as pool:
-        yield from pool.imap(play_task, tasks)
-
-
 def main(arguments: list[str] | None = None) -> int:
     """Runs the command and returns its exit status."""
     parser = argparse.ArgumentParser(prog="python -m larklb.lab.quota_faults")
@@ -306,7 +288,7 @@
         return _show_day(Task(options.seed, options.fault))
     tasks = [Task(options.seed + index, options.fault) for index in range(options.days)]
     broken, tries, runs = 0, 0, 0
-    for outcome in play_all(options.jobs, tasks):
+    for outcome in play_in_processes(play_task, options.jobs, tasks):
         tries, runs = tries + outcome.tries, runs + outcome.runs
         broken += bool(outcome.broken)
         for text in outcome.broken:
--- a/larklb/lab/quota_world.py
+++ b/larklb/lab/quota_world.py
@@ -15,11 +15,12 @@
 
 from attrs import define, field
 
-from larklb.admission.quota_records import Allowance, OvershootBound, QuotaDecision
-from larklb.admission.quotas import ASKED, OWNER, Quotas
+from larklb.admission.quota_records import ASKED, OWNER, Allowance, OvershootBound, QuotaDecision
+from larklb.admission.quotas import Quotas
 from larklb.admission.share_leases import LeaseDurations
 from larklb.gateway.messages import AnyMessage, QuotaMessage
 from larklb.gateway.quota_exchange import QuotaExchange
+from larklb.lab.control_callers import Operators
 from larklb.lab.control_world import Machine, Timer, World
 from larklb.lab.quota_check import allowed_per_window, worst_window
 
@@ -33,6 +34,7 @@
 READINESS_TIMEOUT_MS = 1_500.0
 READINESS_INTERVAL_MS = 500.0
 EXPIRY_INTERVAL_MS = 1_000.0
+FOUNDING_MS = 8_000.0  # time until all limiters have the first configuration
 
 
 @define(frozen=True)
@@ -120,6 +122,15 @@
 
     # Processes ------------------------------------------------------------------------------
 
+    def found(self) -> None:
+        """Starts all machines for the first time, and runs until they have a configuration."""
+        operators = Operators(self)
+        for machine in self.machines.values():
+            self.at(self.rng.uniform(0, 300), partial(self.start, machine))
+        operators.order(0, 1)
+        self.run(FOUNDING_MS)
+        self.bootstrap = False
+
     def start(self, machine: Machine) -> None:
         """Starts a new process with quotas of its own."""
         super().start(machine)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -20,7 +20,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from larklb.admission import quotas
+from larklb.admission import quota_owner
 from larklb.admission.budget import RetryBudget
 from larklb.admission.quota_records import Allowance, Ask, OwnedBucket, QuotaDecision
 from larklb.admission.quotas import Quotas
@@ -288,7 +288,7 @@
         return float(owner.rows(now)[0]["tokens"])
 
     reply = owner.handle_request(0.0, 1 - owner_number, ask(0.0).message)
-    assert reply is not None and tokens(0.0) == 40 * quotas.MOVED_BURST_FRACTION - 1
+    assert reply is not None and tokens(0.0) == 40 * quota_owner.MOVED_BURST_FRACTION - 1
     assert asker.handle_reply(1.0, reply) == (1, QuotaDecision(True, 0.0, "asked"))
     assert asker.handle_reply(1.0, reply) is None
     first, second = ask(2.0), ask(2.0)
@@ -347,7 +347,7 @@
         reply = limiter.handle_request(0.0, owner, LEASE_REQUEST | {key: value})
         assert reply is None or not reply["t"], reply
     reply = limiter.handle_request(0.0, owner, LEASE_REQUEST)
-    assert reply is not None and reply["t"] == [["huka270", -quotas.RESERVATION_MS]]
+    assert reply is not None and reply["t"] == [["huka270", -quota_owner.RESERVATION_MS]]
 
 
 def test_a_share_is_leased_to_one_owner_at_a_time() -> None:
--- a/tests/test_quota_faults.py
+++ b/tests/test_quota_faults.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from functools import partial
 from typing import Any
 
 import pytest
@@ -11,9 +10,8 @@
 from larklb.admission.quota_records import Allowance, OwnedBucket
 from larklb.admission.quotas import Quotas
 from larklb.admission.share_leases import HeldShares
-from larklb.lab.control_callers import Operators
 from larklb.lab.control_world import Machine
-from larklb.lab.quota_faults import FAULTS, FOUNDING_MS, Task, play_day
+from larklb.lab.quota_faults import FAULTS, Task, play_day
 from larklb.lab.quota_world import DEADLINE_MS, FURTHER_TRIES, QuotaWorld, TenantRecord
 
 RATE = BURST = 25.0
@@ -23,11 +21,7 @@
 def founded_world(seed: int) -> QuotaWorld:
     world = QuotaWorld(seed, [Allowance(f"tenant{n}", RATE, BURST) for n in range(60)])
     world.override_bounds(contact_ms=3000.0, convergence_ms=4000.0)
-    for machine in world.machines.values():
-        world.at(world.rng.uniform(0, 300), partial(world.start, machine))
-    Operators(world).order(0, 1)
-    world.run(FOUNDING_MS)
-    world.bootstrap = False
+    world.found()
     return world
 
 
