A departure is acknowledged once a majority of disks has it, and outlives the core

Cause: drains and sign-offs were acknowledged when a majority had them in memory, and no process of it survived. Subscribers dropped rows that were gone when a new home lacked them, and a restarted core machine without a ready peer served whatever it had. Change: core machines save departures, one save at a time, and acknowledge after the sync; a start reads them; without a ready peer a table is served only after the rows of a majority of voters are merged; subscribers keep departures a new home lacks for 30 s; a sign-off that a full registry can't keep is answered 503. Why it works: any two majorities share a disk, and the more advanced state of a server wins whatever the order.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -41,11 +41,11 @@
 from larklb.admission.choice import ServerSelector, ServerState
 from larklb.admission.quota_records import Allowance, Ask
 from larklb.admission.quotas import Quotas
-from larklb.consensus.interface import Answer, Call, Ready
+from larklb.consensus.interface import Answer, Call
 from larklb.consensus.log import encode
 from larklb.gateway import messages
 from larklb.gateway.control_plane import ControlPlane
-from larklb.gateway.core import Core, apply
+from larklb.gateway.core import Core, Saved, apply
 from larklb.gateway.data_plane import prepare_configuration
 from larklb.gateway.main import Limiter
 from larklb.gateway.messages import AnyMessage, Message, QuotaMessage
@@ -157,10 +157,10 @@
 
     fabric: Fabric
 
-    def complete_save(self, ready: Ready) -> None:
+    def complete_save(self, values: dict[str, bytes], saved: Saved) -> None:
         """Counts the bytes of a save and reports its success."""
-        self.fabric.saved_bytes += sum(map(len, (ready.save or {}).values()))
-        self.handle_save_result(self.fabric.now, ready, True)
+        self.fabric.saved_bytes += sum(map(len, values.values()))
+        saved(self.fabric.now, True)
 
 
 class SimulatedLimiter(Limiter):
@@ -197,9 +197,9 @@
         self.quota_exchange = QuotaExchange(quotas, self.wheel, self.transport.send, self.count)
         self.zone_exchange = ZoneExchange(self.choice, self.transport.send)
         if disk:
-            core = SimulatedCore(
+            core: SimulatedCore = SimulatedCore(
                 settings, local_member, None, fabric.now, 1, self.transport.send,
-                lambda ready: core.complete_save(ready)
+                lambda values, saved: core.complete_save(values, saved)
             )
             core.fabric = fabric
             self.plane.core = core
--- a/larklb/cli/system_disk.py
+++ b/larklb/cli/system_disk.py
@@ -23,6 +23,8 @@
 from larklb.consensus.interface import Call
 from larklb.consensus.log import Log, decode
 from larklb.consensus.replica import Replica
+from larklb.gateway.core import DEPARTURES
+from larklb.registry.departures import Departures
 from larklb.storage.errors import StorageError
 from larklb.storage.store import IDENTITY_KEY, Store
 
@@ -210,6 +212,8 @@
     try:
         if key == IDENTITY_KEY:
             return f"disk {value.decode()}"
+        if key == DEPARTURES:
+            return f"{len(Departures().load(value))} servers that drain or have left"
         if key == BALLOT:
             ballot = decode(value)
             return f"term {ballot.get('term')}, vote for {ballot.get('vote') or 'nobody'}"
--- a/larklb/gateway/core.py
+++ b/larklb/gateway/core.py
@@ -1,13 +1,14 @@
 """A core machine's part in the control plane: the replica of the registry and that of the configuration.
 
-There is no I/O: messages go out by ``send``, and data to be stored by ``save``, the end of which is reported
-by ``handle_save_result``. The current time in ms is an argument.
+There is no I/O: messages go out by ``send``, and data to be stored by ``save``, which reports the end of a
+save to the callback that it is given. The current time in ms is an argument.
 """
 
 from __future__ import annotations
 
 import logging
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any
 
 from larklb.consensus.errors import InvalidChangeError
@@ -30,8 +31,14 @@
 # how far apart their processes start, and not on the bounds of the settings.
 STABLE_CORES_MS = 1_200.0
 
+# The disk's key of the departures of servers.
+DEPARTURES = "departures"
+
 Send = Callable[[str, Message], object]
-Save = Callable[[Ready], object]
+# Called with the time in ms and whether a save is durable.
+Saved = Callable[[float, bool], object]
+# Starts to store values by key; saves end in the order in which they were started.
+Save = Callable[[dict[str, bytes], Saved], object]
 
 
 def apply(document: dict[str, Any] | None, call: Call) -> dict[str, Any]:
@@ -71,6 +78,8 @@
         """``local_member`` has the disk's id; ``stored`` are the values that earlier saves left on the
         disk."""
         self.settings, self.disk, self.send, self.save = settings, local_member.disk, send, save
+        stored = dict(stored or {})
+        departures = stored.pop(DEPARTURES, None)
         timing = Timing.from_bounds(settings.bounds.contact_ms, settings.bounds.convergence_ms)
         self.home = RegistryReplica(
             local_member,
@@ -78,11 +87,12 @@
             now,
             time_scale=timing.scale,
             bootstrap=settings.bootstrap,
+            stored_departures=departures,
         )
         self.replica = Replica(
             local_member.disk,
             settings.node,
-            stored,
+            stored or None,
             now,
             seed,
             tolerance=settings.tolerance,
@@ -170,17 +180,16 @@
             if ready.save is None:
                 self._send(ready)
             else:
-                self.save(ready)
+                self.save(ready.save, partial(self._handle_replica_saved, ready))
         self._announce_version()
 
-    def handle_save_result(self, now: float, ready: Ready, ok: bool) -> None:
-        """Handles the end of a save, which is durable if ``ok`` and has failed otherwise.
-
-        The caller calls ``process_ready`` next, after a failure when the disk may be tried again."""
+    def _handle_replica_saved(self, ready: Ready, now: float, ok: bool) -> None:
+        """Handles the end of a save of the replica. A save that failed is tried again by the next tick."""
         self.now = now
         self.replica.saved(ok)
         if ok:
             self._send(ready)
+            self.process_ready(now)
 
     def _send(self, ready: Ready) -> None:
         for receiver, message in ready.messages:
@@ -206,8 +215,19 @@
             self.home.push(self.now, self.offer, at_once=True)
             self.flush()
 
+    # Output of the registry --------------------------------------------------------------
+
     def flush(self) -> None:
-        """Sends the messages that the replica of the registry has collected."""
+        """Stores the departures that the replica of the registry has to store, unless a save of these is in
+        progress, and sends the messages that it has collected."""
+        if (departures := self.home.begin_save(self.now)) is not None:
+            self.save({DEPARTURES: departures}, self._handle_departures_saved)
         out, self.home.outbox = self.home.outbox, []
         for ip, message in out:
             self.send(ip, message)
+
+    def _handle_departures_saved(self, now: float, ok: bool) -> None:
+        """Handles the end of a save of departures, which releases their acknowledgements."""
+        self.now = now
+        self.home.finish_save(now, ok)
+        self.flush()
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -135,7 +135,6 @@
                 self.transport.send,
                 self.disk.save,
             )
-            self.disk.core = core
         self.plane = ControlPlane(
             settings,
             local_member,
--- a/larklb/registry/messages.py
+++ b/larklb/registry/messages.py
@@ -71,7 +71,7 @@
     """Rows that a core machine has just received.
 
     ``ask`` is the number of a pending acknowledgement; if it is set, the receiver answers with ``RowsAck``
-    once it has the rows in memory."""
+    once it has the departures among the rows on its disk."""
 
     members: Rows = msgspec.field(name="m")
     servers: Rows = msgspec.field(name="v")
@@ -80,7 +80,8 @@
 
 
 class RowsAck(Message, frozen=True, kw_only=True, tag="known"):
-    """The core machine with ``disk`` has in memory the rows of the ``RowsUpdate`` with the same ``ask``."""
+    """The core machine with ``disk`` has stored the departures of the ``RowsUpdate`` with the same
+    ``ask``."""
 
     ask: int
     incarnation: int = msgspec.field(name="l")
--- a/larklb/registry/registry.py
+++ b/larklb/registry/registry.py
@@ -73,10 +73,15 @@
     )
 
 
+def state_rank(state: str) -> int:
+    """Returns how far a server's departure has advanced: 0 for steady, then draining, then gone."""
+    return _RANK.get(state, 0)
+
+
 def merge_servers(one: Server, other: Server) -> Server:
     """Returns the newer of two records of an instance: the more advanced state (steady, draining, gone), then
     the higher sequence number.  The order of the arguments doesn't matter."""
-    return max(one, other, key=lambda s: (_RANK.get(s.state, 0), s.sequence))
+    return max(one, other, key=lambda s: (state_rank(s.state), s.sequence))
 
 
 @define
--- a/larklb/registry/replica.py
+++ b/larklb/registry/replica.py
@@ -1,16 +1,19 @@
 """A core machine's replica of the registry.
 
 It holds limiters and servers under leases, pushes changes to its subscribers (the limiters that use it as
-their home), and synchronizes its rows with the other core machines.
+their home), and synchronizes its rows with the other core machines.  Of all this only the departures of
+servers are kept on the disk.
 
 There is no I/O: messages are passed in, messages to be sent are collected in ``outbox`` as (address,
-message), which the caller empties after each call, and the current time in ms is an argument.
+message), which the caller empties after each call, ``begin_save`` returns what is to be written to the disk,
+and the current time in ms is an argument.
 """
 
 from __future__ import annotations
 
 import math
 from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 
 import xxhash
 from attrs import define, field
@@ -21,6 +24,7 @@
 from larklb.membership.messages import Message, Row, Rows
 from larklb.quota.ring import digest
 from larklb.registry import registry as servers
+from larklb.registry.departures import Departures
 from larklb.registry.messages import (
     ConfigVersion,
     Delta,
@@ -83,8 +87,8 @@
 
 @define
 class PendingAcknowledgement:
-    """A server's change that is acknowledged once a majority of the core has it; ``done`` is called with the
-    result."""
+    """A server's departure that is acknowledged once the disks of a majority of the core have it; ``done`` is
+    called with the result."""
 
     row: Row
     key: str
@@ -105,6 +109,8 @@
     time_scale: float = 1.0
     # Whether the whole system starts for the first time, so that there is no group of voters yet.
     bootstrap: bool = True
+    # The departures that an earlier process left on the disk.
+    stored_departures: bytes | None = None
     members: Members = field(factory=Members)
     registry: Registry = field(init=False)
     table: Table = field(factory=Table)
@@ -115,8 +121,11 @@
     ready: bool = False
     # By disk id: the time of sending of the newest ``Sync`` that was answered.
     last_echo: dict[str, float] = field(factory=dict)
+    # Disk ids of the core machines whose rows this incarnation has merged, all of them as they were then.
+    merged_disks: set[str] = field(factory=set)
     outbox: Outgoing = field(factory=list)
     pending: dict[int, PendingAcknowledgement] = field(factory=dict)
+    departures: Departures = field(factory=Departures)
     last_request: int = 0
     last_sync_at: float = -math.inf
     # By node: when another core machine last reported that it is ready.
@@ -129,6 +138,15 @@
     def __attrs_post_init__(self) -> None:
         self.registry = Registry(self.period_ms)
         self.members.lease_ms = membership.LEASE_MS * self.time_scale
+        self._restore_departures()
+
+    def _restore_departures(self) -> None:
+        """Adds the departures of the disk as if they had just been reported: how old they are isn't known."""
+        if self.stored_departures is None:
+            return
+        for server in self.departures.load(self.stored_departures):
+            self.registry.update(self.started_at, server, False)
+            self._publish_server(server.id)
 
     @property
     def quorum_timeout_ms(self) -> float:
@@ -155,6 +173,10 @@
     def _publish_server(self, name: str) -> None:
         known = self.registry.by_id.get(name)
         self.range_digests = None
+        if known is not None:
+            self.departures.note(known.server)
+        else:
+            self.departures.forget(name)
         row = known.server.to_row() if known is not None else None
         if row is not None and (old := self.table.get("s", name)) is not None:
             # A heartbeat that changes nothing but the sequence number is not a change.
@@ -306,8 +328,8 @@
     def server_heartbeat(self, now: float, received: Server, done: Callable[[bool], object]) -> None:
         """Handles a server's heartbeat and calls ``done`` with whether it is acknowledged.
 
-        A drain is acknowledged once a majority of the core has it.  A fenced core machine acknowledges no
-        heartbeat, so that the server tries another one."""
+        A drain is acknowledged once the disks of a majority of the core have it.  A fenced core machine
+        acknowledges no heartbeat, so that the server tries another one."""
         changed = self.registry.update(now, received, True)
         known = self.registry.by_id.get(received.id)
         if known is None:
@@ -323,25 +345,24 @@
         done(not self.fenced(now))
 
     def server_leave(self, now: float, name: str, done: Callable[[bool], object]) -> None:
-        """Handles the sign-off of a server and calls ``done`` with whether a majority of the core has
-        it."""
+        """Handles the sign-off of a server and calls ``done`` with whether the disks of a majority of the
+        core have it."""
         if self.registry.mark_gone(now, name):
             self._publish_server(name)
         known = self.registry.by_id.get(name)
-        if known is None:
-            done(True)
+        if known is None:  # the registry is full
+            done(False)
         else:
             self._acknowledge_on_quorum(now, known.server, done)
 
     def _acknowledge_on_quorum(self, now: float, server: Server, done: Callable[[bool], object]) -> None:
         self.last_request += 1
         deadline = now + ACKNOWLEDGE_TIMEOUT_MS
-        acknowledgement = PendingAcknowledgement(
-            server.to_row(), server.id, done, deadline, {self.local_member.disk}
-        )
+        acknowledgement = PendingAcknowledgement(server.to_row(), server.id, done, deadline, set())
         self.pending[self.last_request] = acknowledgement
         self._request_acks(now, self.last_request, acknowledgement)
-        self._complete_on_quorum(self.last_request, acknowledgement)
+        note_local = partial(self._note_acknowledged, self.last_request, self.local_member.disk)
+        self.departures.when_durable({server.id: server.state}, note_local, deadline)
 
     def _request_acks(self, now: float, number: int, acknowledgement: PendingAcknowledgement) -> None:
         servers = [(acknowledgement.key, acknowledgement.row)]
@@ -351,11 +372,15 @@
         )
 
     def handle_rows_ack(self, message: RowsAck) -> None:
-        """Notes that another core machine has the rows of a pending acknowledgement."""
-        acknowledgement = self.pending.get(message.ask)
-        if acknowledgement is not None and message.incarnation == self.local_member.incarnation:
-            acknowledgement.acknowledged_by.add(message.disk)
-            self._complete_on_quorum(message.ask, acknowledgement)
+        """Notes that another core machine has the rows of a pending acknowledgement on its disk."""
+        if message.incarnation == self.local_member.incarnation:
+            self._note_acknowledged(message.ask, message.disk)
+
+    def _note_acknowledged(self, number: int, disk: str) -> None:
+        acknowledgement = self.pending.get(number)
+        if acknowledgement is not None:
+            acknowledgement.acknowledged_by.add(disk)
+            self._complete_on_quorum(number, acknowledgement)
 
     def _complete_on_quorum(self, number: int, acknowledgement: PendingAcknowledgement) -> None:
         core_machines = self.members.core_machines
@@ -367,11 +392,19 @@
     # Other core machines ------------------------------------------------------------------
 
     def handle_rows_update(self, now: float, message: RowsUpdate) -> None:
-        """Merges rows that another core machine has just received, and acknowledges them on request."""
+        """Merges rows that another core machine has just received.
+
+        On request, departures are acknowledged once the local disk has them."""
         self._merge_rows(now, message.members, message.servers, True)
         if message.ask is not None:
             ack = RowsAck(ask=message.ask, incarnation=message.incarnation, disk=self.local_member.disk)
-            self.outbox.append((message.address, ack))
+            states = {name: server_from_row(name, row).state for name, row in message.servers}
+            send_ack = partial(self._enqueue, message.address, ack)
+            self.departures.when_durable(states, send_ack, now + ACKNOWLEDGE_TIMEOUT_MS)
+
+    def _enqueue(self, address: str, message: Message) -> None:
+        """Adds a message to be sent; the outbox itself is replaced by whoever empties it."""
+        self.outbox.append((address, message))
 
     def _merge_rows(self, now: float, members: Rows, servers: Rows, fresh: bool) -> None:
         for node, row in members:
@@ -399,6 +432,8 @@
                 self._publish_server(name)
         local_digests, remote_digests = self._current_digests(), dict(enumerate(message.digests))
         differing = [r for r in range(RANGE_COUNT) if local_digests[r] != remote_digests.get(r)]
+        if not differing:
+            self.merged_disks.add(sender.disk)
         if differing:
             range_rows = self._make_range_rows(now, differing, compared=sender.incarnation, again=True)
             self.outbox.append((message.address, range_rows))
@@ -418,8 +453,11 @@
         incarnation.  Waiting until all digests are equal could take long, because each core machine decides
         by itself when a row is stale and no longer part of its digest."""
         self._merge_rows(now, message.members, message.servers, False)
-        if message.ready and message.compared == self.local_member.incarnation:
-            self.ready = True
+        if message.compared == self.local_member.incarnation:
+            if (sender := self.members.by_node.get(message.sender)) is not None:
+                self.merged_disks.add(sender.member.disk)
+            if message.ready:
+                self.ready = True
         if message.again:
             range_rows = self._make_range_rows(now, message.ranges, compared=message.incarnation, again=False)
             self.outbox.append((message.address, range_rows))
@@ -455,6 +493,23 @@
             self.range_digests = [h.hexdigest() for h in hashes]
         return self.range_digests
 
+    def _has_merged_majority(self) -> bool:
+        """Returns whether the rows of a majority of the voters are merged, so that every acknowledged
+        departure is known here."""
+        merged = self.voters.keys() & {*self.merged_disks, self.local_member.disk}
+        return not self.voters or len(merged) * 2 > len(self.voters)
+
+    # The disk -----------------------------------------------------------------------------
+
+    def begin_save(self, now: float) -> bytes | None:
+        """Returns the departures to be written to the disk, None if there is nothing to write or a save is in
+        progress."""
+        return self.departures.begin_save(now, (known.server for known in self.registry.by_id.values()))
+
+    def finish_save(self, now: float, ok: bool) -> None:
+        """Notes the end of a save, which is durable if ``ok`` and has failed otherwise."""
+        self.departures.finish_save(now, ok)
+
     def _may_serve(self, now: float) -> bool:
         return self.ready and not self.fenced(now)
 
@@ -510,8 +565,10 @@
             if now >= acknowledgement.deadline:
                 del self.pending[number]
                 acknowledgement.done(False)
+        self.departures.expire(now)
         if (
             not self.ready
+            and self._has_merged_majority()
             and now - self.started_at > (READY_DELAY_MS if self.peer_seen else READY_DELAY_WITHOUT_PEERS_MS)
             and not any(now - at < self.core_present_ms for at in self.ready_cores.values())
         ):
--- a/larklb/registry/subscriber.py
+++ b/larklb/registry/subscriber.py
@@ -18,7 +18,7 @@
 from larklb.membership.members import HEARTBEAT_INTERVAL_MS, LEAVING, UP, Member, home_order, member_from_row
 from larklb.membership.messages import Row, Rows
 from larklb.registry.messages import ConfigVersion, Cores, Delta, DeltaAck, Hello, MemberHeartbeat, NotReady
-from larklb.registry.registry import GONE, Server, merge_servers, server_from_row
+from larklb.registry.registry import FORGET_MS, STEADY, Server, merge_servers, server_from_row
 from larklb.registry.replica import Outgoing
 
 # Time between messages to the seeds until the table of a home is complete.
@@ -31,6 +31,9 @@
 HOME_RETRY_MS = 2_500.0
 # Rows of a former home that a new home lacks are kept for this long, because it may still receive them.
 UNCONFIRMED_TTL_MS = 5_000.0
+# The same for servers that are draining or gone, so that a late heartbeat doesn't bring one back at a home
+# that doesn't know of its departure; the time for which core machines remember them.
+UNCONFIRMED_DEPARTURE_TTL_MS = FORGET_MS
 # A core machine that wasn't heard of for this long can't become the home.
 CORE_TTL_MS = 30_000.0
 
@@ -291,9 +294,12 @@
     def _complete_table(self, now: float) -> None:
         """Puts the new home's table in use, together with the rows of the former one that it lacks."""
         for name, server in self.servers.items():
-            if name not in self.loading_servers and server.state != GONE:
+            if name not in self.loading_servers:
                 self.loading_servers[name] = server
-                self.unconfirmed_servers.setdefault(name, now + self.time_scale * UNCONFIRMED_TTL_MS)
+                ttl_ms = self.time_scale * UNCONFIRMED_TTL_MS
+                if server.state != STEADY:
+                    ttl_ms = UNCONFIRMED_DEPARTURE_TTL_MS
+                self.unconfirmed_servers.setdefault(name, now + ttl_ms)
         for node, member in self.members.items():
             if node not in self.loading_members:
                 self.loading_members[node] = member
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 import pytest
 from attrs import evolve
@@ -17,6 +18,7 @@
 from larklb.lab.control_history import History, InvariantViolationError, Order, Read
 from larklb.lab.control_world import World
 from larklb.membership.members import DOWN, LEASE_MS, UP, Member
+from larklb.registry.registry import DRAINING, STEADY, Server
 from larklb.registry.replica import RegistryReplica
 
 pytestmark = pytest.mark.simulation
@@ -49,6 +51,87 @@
     assert set(SCENARIOS) >= {each.scenario for each in BREAKS.values()} and len(BREAKS) >= 12
 
 
+# Departures ---------------------------------------------------------------------------------------
+
+
+def running_world(seed: int = 1) -> World:
+    """Returns an installation whose group is founded."""
+    world = World(seed)
+    for machine in world.machines.values():
+        world.start(machine)
+    world.run(6_000.0)
+    world.bootstrap = False
+    return world
+
+
+def call_any_machine(world: World, call: Server | str) -> None:
+    """Lets a server call one limiter after the other until one acknowledges."""
+    for node in ("l0", "c1", "c2", "c0", "l1"):
+        answers: list[CallResult] = []
+        plane = world.machines[node].plane
+        if plane is not None:
+            plane.server_call(world.now, call, answers.append)
+            world.run(1_000.0)
+        if any(answer.status == 200 for answer in answers):
+            return
+    raise AssertionError("nobody acknowledges")
+
+
+def steady_at(world: World, server_id: str) -> list[str]:
+    """Returns the machines that would send requests to the server."""
+    planes = {node: machine.plane for node, machine in world.machines.items() if machine.plane is not None}
+    known = {node: plane.subscriber.servers.get(server_id) for node, plane in planes.items()}
+    return [node for node, server in known.items() if server is not None and server.state == STEADY]
+
+
+def kill_core_at_once(world: World) -> None:
+    for machine in world.cores():
+        world.kill(machine)
+    world.run(700.0)
+    for machine in world.cores():
+        world.restart(machine)
+
+
+def kill_core_in_turn(world: World) -> None:
+    """Each core machine is started again before the next one is killed, but has not heard from it yet."""
+    for machine in world.cores():
+        world.kill(machine)
+        world.run(30.0)
+        world.restart(machine)
+
+
+def kill_all(world: World) -> None:
+    for machine in world.machines.values():
+        world.kill(machine, power=True)
+    world.run(700.0)
+    for machine in world.machines.values():
+        world.restart(machine)
+
+
+@pytest.mark.parametrize("kill", [kill_core_at_once, kill_core_in_turn, kill_all])
+@pytest.mark.parametrize("sign_off", [True, False])
+def test_an_acknowledged_departure_outlives_the_processes_of_the_core(
+    kill: Callable[[World], None], sign_off: bool
+) -> None:
+    """Guards against DRAIN: a late heartbeat brought a server back after the core had restarted."""
+    world = running_world()
+    server = Server("s1", "orders", "h:1", "north", 2, sequence=1)
+    call_any_machine(world, server)
+    late_beat = evolve(server, sequence=2)
+    assert len(steady_at(world, "s1")) == len(world.machines)
+    call_any_machine(world, "s1" if sign_off else evolve(server, state=DRAINING, sequence=3))
+    kill(world)
+    for wait_ms in (0.0, 100.0, 300.0, 1_000.0, 3_000.0):
+        world.run(wait_ms)
+        for machine in world.machines.values():
+            if machine.plane is not None:
+                machine.plane.server_call(world.now, late_beat, lambda result: None)
+        world.run(20.0)
+        assert not steady_at(world, "s1"), world.now
+    world.run(5_000.0)
+    assert not steady_at(world, "s1")
+
+
 # The checker -------------------------------------------------------------------------------------
 
 
