An unexpected error leaves no connection and ends in an answer; names may end with blanks

Requests of a tenant whose name ends with a blank were closed unanswered; after 840 of them at a limiter it answered 503 to every tenant, for good, and called itself ready. Cause: h11 refuses such a header value after the connection to the server was opened and before the try that closes it; the count of open connections was kept apart from them; the listener ended the client's connection in silence; readiness didn't know. Change: the name goes out without blanks at its ends; control characters, and names that differ in such blanks alone, are refused with 400. An error in an attempt closes its connection, frees its slot, is logged (once a second at most) and counted, and counts as unsent or broken in the table of attempts: 503, 502 or another server. Errors elsewhere are answered 503 or 500. Open connections are a set, not a count. A stored configuration is put in force without items that are invalid to this version. Why it works: whatever raises on the path of a request meets one of three handlers, each of which answers, and the set can't drift.

--- a/larklb/gateway/data_plane.py
+++ b/larklb/gateway/data_plane.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -21,13 +22,17 @@
 from larklb.admission.quota_records import QuotaDecision
 from larklb.admission.tries import AttemptHistory, AttemptOutcome, NextStep
 from larklb.assignment.assignment import caller_key
+from larklb.gateway.error_log import ErrorLog
 from larklb.gateway.request_work import RequestWork
 from larklb.gateway.servers import MIN_TIME_LEFT_MS, Message, Reply, ServerConnections, end_to_end_headers
 from larklb.net.http import Link
 from larklb.schema.configuration import Configuration, Route, Tenant
+from larklb.schema.header_text import header_value
 from larklb.schema.routing import Keys, Routes, service_of, targets
 from larklb.wheel import Wheel
 
+log = logging.getLogger("data_plane")
+
 # Subtracted from X-Time-Left (ms) so that the response reaches the client in time.
 RESPONSE_MARGIN_MS = 12.0
 # Retry-After of a refused request before it is limited by the client's remaining time.  A 503 uses a random
@@ -118,13 +123,18 @@
     # Attempts that may be hedged and those that hedge them; referenced here until they end.
     attempt_tasks: set[asyncio.Task[tuple[AttemptOutcome, Reply | None]]] = field(factory=set)
     requests_in_progress: set[RequestWork] = field(factory=set)
+    error_log: ErrorLog = field(factory=partial(ErrorLog, log))
 
     async def answer(self, head: h11.Request, body: bytes, link: Link) -> Reply:
         """Returns the response to a client's request: a server's, or an error.
 
-        Once the client has closed its connection, no further attempt is started.
+        Once the client has closed its connection, no further attempt is started. An unexpected error is
+        logged and answered: with 503 if the request has certainly not run, else with 500.
         """
-        request = self._parse(head, body)
+        try:
+            request = self._parse(head, body)
+        except Exception:
+            return self._internal_error(None, None)
         if isinstance(request, Reply):
             return request
         work = RequestWork(
@@ -141,11 +151,29 @@
             client_gone()
         try:
             return await self._check_quota_and_run(request, work)
+        except Exception:
+            return self._internal_error(request, work)
         finally:
             link.reader.on_end = None
             work.finish()
             self.requests_in_progress.discard(work)
 
+    def _internal_error(self, request: ClientRequest | None, work: RequestWork | None) -> Reply:
+        """Logs the exception that is being handled; returns the response to its request."""
+        now = self.wheel.now()
+        self.count["internal_error.request"] += 1
+        self.server_connections.serving_check.record_local_failure(now)
+        route = request.route.name if request is not None else "(none yet)"
+        self.error_log.exception(now, f"data plane: unexpected error on route {route}")
+        if work is None or request is None:
+            return error_reply(503, MAX_RETRY_AFTER_MS)
+        may_have_run = work.sent or any(attempt.sent for attempt in work.attempts)
+        return (
+            Reply(500)
+            if may_have_run
+            else error_reply(503, self._retry_after_ms(request.deadline, MAX_RETRY_AFTER_MS))
+        )
+
     def _parse(self, head: h11.Request, body: bytes) -> ClientRequest | Reply:
         """Validates, routes and authenticates a request; returns it, or the error response."""
         received_at, active = self.wheel.now(), self.active
@@ -242,7 +270,7 @@
         if body or head.method not in (b"GET", b"HEAD"):
             headers.append((b"Content-Length", b"%d" % len(body)))
         if tenant is not None:
-            headers.append((b"X-Tenant", tenant.name.encode()))
+            headers.append((b"X-Tenant", header_value(tenant.name)))
         return Message(message_id, bytes(head.method), request_target, headers, body)
 
     def _retry_after_ms(self, deadline: float, desired_ms: float) -> float:
@@ -298,6 +326,7 @@
                 continue
             if step is NextStep.FORWARD and reply is not None:
                 self.count["passed"] += 1
+                self.server_connections.serving_check.record_served(self.wheel.now())
                 return reply
             return (
                 self._abandoned_answer(history, deadline)
--- a/larklb/gateway/listener.py
+++ b/larklb/gateway/listener.py
@@ -15,6 +15,7 @@
 from attrs import define
 
 from larklb.gateway.client_reader import ClientReader
+from larklb.gateway.error_log import ErrorLog
 from larklb.gateway.errors import AddressError
 from larklb.gateway.servers import Reply
 from larklb.net.http import Link, PeerTooSlowError, TooLongError
@@ -57,6 +58,7 @@
         # Whether each connection is closed after its next answer.
         self.draining = False
         self.closed = False
+        self.error_log = ErrorLog(log)
 
     async def start(self, host: str, port: int) -> None:
         """Starts to accept connections; raises ``AddressError`` if the address can't be listened on."""
@@ -155,12 +157,34 @@
             return await self._refuse(link, 413)
         except h11.RemoteProtocolError as error:
             return False if link.reader.ended() else await self._refuse(link, error.error_status_hint)
-        reply = await self.handler(head, b"".join(body), link)
-        close = reply.close or self.draining
-        self._write(link, reply, close, head.method)
+        reply = await self._handle(head, b"".join(body), link)
+        close = self._write_or_fail(link, reply, reply.close or self.draining, head.method)
         await link.writer.drain()
         return not close and not link.reader.ended() and link.start_next_cycle()
 
+    async def _handle(self, head: h11.Request, body: bytes, link: Link) -> Reply:
+        """Returns the handler's answer, or 500 after an unexpected error, which promises nothing."""
+        try:
+            return await self.handler(head, body, link)
+        except Exception:
+            self.error_log.exception(self.wheel.now(), "listener: unexpected error while handling a request")
+            return Reply(500, close=True)
+
+    def _write_or_fail(self, link: Link, reply: Reply, close: bool, method: bytes) -> bool:
+        """Queues an answer, or 502 in place of one that HTTP can't carry.
+
+        Returns whether the connection ends. Raises ``LocalProtocolError`` if the state of the connection
+        allows no answer."""
+        try:
+            self._write(link, reply, close, method)
+        except h11.LocalProtocolError:
+            if not link.can_respond():
+                raise
+            self.error_log.exception(self.wheel.now(), "listener: an answer can't be sent")
+            self._write(link, Reply(502), True, method)
+            return True
+        return close
+
     async def _refuse(self, link: Link, status: int) -> bool:
         """Answers a request that can't be read, if an answer is still possible; the connection then ends."""
         link.busy = True
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -54,7 +54,6 @@
 from larklb.registry.subscriber import Subscriber
 from larklb.schema import calls
 from larklb.schema import configuration as schema
-from larklb.schema.errors import SchemaError
 from larklb.storage.errors import StorageError
 from larklb.storage.store import Store
 from larklb.wheel import Wheel
@@ -323,11 +322,9 @@
         """Puts a committed configuration in force, unless it is not newer than the present one."""
         if int(document["version"]) <= self.version:
             return
-        try:
-            checked = schema.check(document, self.version)
-        except SchemaError as error:
-            log.error("gateway: a configuration is invalid: %s.", error)
-            return
+        checked, problems = schema.read_stored(document)
+        for problem in problems:
+            log.error("gateway: the configuration has an invalid item, which is left out: %s.", problem)
         self.data_plane.active = prepare_configuration(checked)
         limits = checked.limits
         self.edge.limits = RequestLimits(
@@ -425,7 +422,8 @@
         synchronized = self.subscriber.ever_complete and (
             bool(self.choice.servers) or self.wheel.now() - self.started_at > READY_WITHOUT_SERVERS_MS
         )
-        return self.data_plane.active is not None and synchronized and not self.leaving.is_set()
+        can_serve = self.server_connections.serving_check.can_serve(self.wheel.now())
+        return self.data_plane.active is not None and synchronized and can_serve and not self.leaving.is_set()
 
     async def _serve_readiness(self, head: Any, body: bytes, link: Any) -> Reply:
         if head.target.partition(b"?")[0] != b"/larklb/readiness":
--- a/larklb/gateway/request_work.py
+++ b/larklb/gateway/request_work.py
@@ -27,6 +27,10 @@
 
     dialling: asyncio.Future[Link] | None = None
     link: Link | None = None
+    # Whether any byte of the request may have been written.
+    sent: bool = False
+    # Whether its end has been recorded for the server.
+    recorded: bool = False
     # What ended the attempt before its answer, if anything did.
     ended_by: Cause | None = None
 
@@ -70,6 +74,8 @@
     attempts: set[Attempt] = field(factory=set, init=False)
     # The task that is waiting for the decision on the quota.
     _quota_task: asyncio.Task[object] | None = field(default=None, init=False)
+    # Whether any attempt may have written a byte of the request.
+    sent: bool = field(default=False, init=False)
     _finished: bool = field(default=False, init=False)
     _client_gone_at: float | None = field(default=None, init=False)
     _timer: Timer = field(init=False)
@@ -139,6 +145,7 @@
     def finish_attempt(self, attempt: Attempt) -> None:
         """Removes an attempt that has ended, for whatever reason."""
         self.attempts.discard(attempt)
+        self.sent = self.sent or attempt.sent
         self._clean_up()
 
     def finish(self) -> None:
--- a/larklb/gateway/servers.py
+++ b/larklb/gateway/servers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import re
 from collections import defaultdict
 from collections.abc import Iterable
@@ -16,10 +17,14 @@
 
 from larklb.admission.choice import ServerSelector, ServerState
 from larklb.admission.tries import AttemptOutcome
+from larklb.gateway.error_log import ErrorLog
 from larklb.gateway.request_work import Attempt, RequestWork
+from larklb.gateway.serving_check import ServingCheck
 from larklb.net.http import Link, PeerTooSlowError, TooLongError, await_connection, dial
 from larklb.wheel import Wheel
 
+log = logging.getLogger("servers")
+
 # Longest body of an answer, all of which is buffered.
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 # An idle connection is closed after this time if its server states no timeout.
@@ -111,13 +116,22 @@
         self.wheel, self.selector, self.max_connections, self.count = wheel, selector, max_connections, count
         # Idle connections by server id, each with the time at which it expires.
         self.pools: defaultdict[str, list[tuple[Link, float]]] = defaultdict(list)
-        self.open_connections = 0
+        # All connections that are open, idle or in use, and how many are being opened.
+        self.open_links: set[Link] = set()
+        self.dialling = 0
         # Connections on which an answer without an attempt id has arrived.
         self.unidentified: set[Link] = set()
+        self.serving_check = ServingCheck()
+        self.error_log = ErrorLog(log)
         wheel.after(SWEEP_INTERVAL_MS, self._sweep)
 
     # Connections --------------------------------------------------------------------------
 
+    @property
+    def open_connections(self) -> int:
+        """The number of connections that are open or being opened."""
+        return len(self.open_links) + self.dialling
+
     def _sweep(self) -> None:
         """Closes idle connections that have expired or whose server drains or is gone."""
         self.wheel.after(SWEEP_INTERVAL_MS, self._sweep)
@@ -131,15 +145,17 @@
                 del self.pools[server_id]
 
     def _close_idle(self, server_id: str, link: Link) -> None:
+        """Closes a connection that may be idle."""
         pool = self.pools.get(server_id, [])
         pool[:] = [entry for entry in pool if entry[0] is not link]
         self._close(link)
 
     def _close(self, link: Link) -> None:
+        """Closes a connection; one that is closed already is left as it is."""
         link.reader.on_end = None
         link.abort()
         self.unidentified.discard(link)
-        self.open_connections -= 1
+        self.open_links.discard(link)
 
     def _take_idle(self, server_id: str, safe: bool) -> Link | None:
         """Takes an idle connection that may be used for a request, the most recently used one first."""
@@ -196,18 +212,19 @@
         """Opens a connection; returns None if that fails, takes too long or would exceed the limit."""
         if not self._make_room():
             self.count["no_descriptor"] += 1
+            self.serving_check.record_local_failure(self.wheel.now())
             return None
-        self.open_connections += 1
+        self.dialling += 1
         self.count["dialled"] += 1
-        host, _, port = server.address.rpartition(":")
-        dialling = attempt.dialling = asyncio.ensure_future(dial(host, int(port)))
-        link = None
         try:
-            link = await await_connection(dialling, timeout_ms, self.wheel)
+            host, _, port = server.address.rpartition(":")
+            attempt.dialling = asyncio.ensure_future(dial(host, int(port)))
+            link = await await_connection(attempt.dialling, timeout_ms, self.wheel)
         finally:
             attempt.dialling = None
-            if link is None:
-                self.open_connections -= 1
+            self.dialling -= 1
+        if link is not None:
+            self.open_links.add(link)
         return link
 
     # Attempts -----------------------------------------------------------------------------
@@ -215,22 +232,34 @@
     async def attempt(
         self, server: ServerState, route: str, message: Message, work: RequestWork
     ) -> tuple[AttemptOutcome, Reply | None]:
-        """Sends a request to a server; returns the outcome, and the answer if there is one to forward."""
+        """Sends a request to a server; returns the outcome, and the answer if there is one to forward.
+
+        An unexpected error is logged and ends only this attempt."""
         if not work.may_attempt:
             return AttemptOutcome.UNSENT, None
         self.selector.record_start(server)
         attempt = work.start_attempt()
         try:
             return await self._attempt(server, route, message, work, attempt)
-        except BaseException:
-            self.selector.release(server)
-            raise
+        except Exception:
+            self._record_error(server, route)
+            return AttemptOutcome.BROKEN if attempt.sent else AttemptOutcome.UNSENT, None
         finally:
+            if not attempt.recorded:
+                self.selector.release(server)
             work.finish_attempt(attempt)
 
+    def _record_error(self, server: ServerState, route: str) -> None:
+        """Logs and counts the unexpected error that is being handled."""
+        now = self.wheel.now()
+        self.count["internal_error.attempt"] += 1
+        self.serving_check.record_local_failure(now)
+        self.error_log.exception(now, f"servers: unexpected error on route {route} with server {server.id}")
+
     async def _attempt(
         self, server: ServerState, route: str, message: Message, work: RequestWork, attempt: Attempt
     ) -> tuple[AttemptOutcome, Reply | None]:
+        """Makes an attempt on an idle connection or a new one."""
         selector, started = self.selector, self.wheel.now()
         link = self._take_idle(server.id, work.safe)
         if link is None:
@@ -241,16 +270,31 @@
             link = await self._dial(server, timeout_ms, attempt)
             if link is None:
                 if attempt.ended_by is None or attempt.timed_out:
+                    attempt.recorded = True
                     selector.record_failure(self.wheel.now(), server, True)
-                else:
-                    selector.release(server)
                 return AttemptOutcome.UNSENT, None
-        now = self.wheel.now()
+        try:
+            return await self._attempt_on(link, server, route, message, work, attempt, started)
+        except BaseException:
+            self._close_idle(server.id, link)
+            raise
+
+    async def _attempt_on(
+        self,
+        link: Link,
+        server: ServerState,
+        route: str,
+        message: Message,
+        work: RequestWork,
+        attempt: Attempt,
+        started: float,
+    ) -> tuple[AttemptOutcome, Reply | None]:
+        """Makes an attempt on a connection, which is closed or put back when this returns."""
+        selector, now = self.selector, self.wheel.now()
         time_left = work.deadline - now
         # The server may have begun to drain, or left, while the connection was opened.
         unavailable = server.draining or selector.servers.get(server.id) is not server
         if attempt.ended_by is not None or time_left < MIN_TIME_LEFT_MS or unavailable:
-            selector.release(server)
             self._close(link)
             return AttemptOutcome.UNSENT, None
         attempt.link = link
@@ -264,14 +308,13 @@
             ],
         )
         try:
+            attempt.sent = True
             link.write(head, message.body)
             answer, body = await self._read_answer(link, head, message)
         except (OSError, PeerTooSlowError, TooLongError, h11.RemoteProtocolError):
             answer, body = None, b""
-        except BaseException:
-            self._close(link)
-            raise
         now = self.wheel.now()
+        attempt.recorded = True
         if answer is None:
             self._close(link)
             return self._record_unanswered(now, server, route, now - started, attempt), None
--- a/larklb/schema/configuration.py
+++ b/larklb/schema/configuration.py
@@ -20,6 +20,7 @@
     read_version,
     wire,
 )
+from larklb.schema.header_text import parse_header_text, visible_text
 
 # A route is invalid if its setpoint exceeds its timeout by this much or more.
 INVALID_SETPOINT_EXCESS_MS = 60_000.0
@@ -126,11 +127,13 @@
 class Tenant(Item):
     """A tenant and its keys.
 
+    Servers are sent `name` in a header, which doesn't transmit blanks at its ends.
+
     `rate_per_s` limits its requests per second over all machines together, with bursts of up to `burst`
     requests; 0 means no limit. `precedence` is the rank, with 0 as the highest, and overrides the route's.
     """
 
-    name: str
+    name: str = field(metadata=wire("name", parse_header_text))
     keys: list[str] = field(default_factory=list, metadata=wire("keys", _parse_keys))
     precedence: int = 0
     rate_per_s: float = field(default=0.0, metadata=wire("ratePerS"))
@@ -180,12 +183,14 @@
     return [item for item in items if item is not None]
 
 
-def _check_unique(names: Iterable[str], path: str, problems: list[str]) -> None:
-    """Add a message to `problems` for each repetition of a name."""
+def _check_unique(
+    names: Iterable[str], path: str, problems: list[str], expected: str = "each name once"
+) -> None:
+    """Add a message to `problems` for each repetition of a name; `expected` tells what it should be."""
     seen: set[str] = set()
     for name in names:
         if name in seen:
-            problems.append(format_problem(path, name, "each name once"))
+            problems.append(format_problem(path, name, expected))
         seen.add(name)
 
 
@@ -205,7 +210,8 @@
             route = read_item(Route, value, route_path, problems)
             if route is None:
                 continue
-            routes.append(route)
+            if targets(route):  # otherwise nobody could serve it, as is reported below
+                routes.append(route)
             names.append(route.name)
             location = (entry["host"].lower(), route.prefix)
             if location in route_names:
@@ -259,7 +265,9 @@
     if document.get("tenants") is None:
         return None
     tenants = _read_items(Tenant, document, "tenants", problems)
-    _check_unique((tenant.name for tenant in tenants), "tenants.name", problems)
+    # Servers couldn't tell two tenants apart whose names differ only in blanks at the ends.
+    visible_names = (visible_text(tenant.name) for tenant in tenants)
+    _check_unique(visible_names, "tenants.name", problems, "each name once, apart from blanks at its ends")
     holders: dict[str, str] = {}
     for tenant in tenants:
         for key in tenant.keys:
@@ -282,6 +290,18 @@
     """
     if not isinstance(document, dict):
         raise InvalidError([format_problem("configuration", document, "an object")])
+    configuration, problems = read_stored(document, previous_version)
+    if problems:
+        raise InvalidError(problems)
+    return configuration
+
+
+def read_stored(document: Document, previous_version: int = 0) -> tuple[Configuration, list[str]]:
+    """Return the typed view of a document without its invalid items, and a message about each invalid value.
+
+    A version of this program may have stored a document that a later one calls invalid. Then all valid items
+    must still be served.
+    """
     problems: list[str] = []
     services = _read_items(Service, document, "services", problems)
     # An invalid service is reported once, and not for each route that refers to it.
@@ -297,6 +317,7 @@
         limits = read_item(Limits, document["limits"], "limits", problems)
     tenants = _read_tenants(document, problems)
     hosts = _read_hosts(document, service_names, problems)
-    if problems or limits is None:
-        raise InvalidError(problems)
-    return Configuration(version=version, services=services, limits=limits, tenants=tenants, hosts=hosts)
+    configuration = Configuration(
+        version=version, services=services, limits=limits or Limits(), tenants=tenants, hosts=hosts
+    )
+    return configuration, problems
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -15,7 +15,7 @@
 from typing import Any
 
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 
 from larklb.admission.budget import RetryBudget
 from larklb.admission.choice import ServerSelector, ServerState
@@ -24,6 +24,7 @@
 from larklb.gateway.data_plane import DataPlane, prepare_configuration
 from larklb.gateway.listener import Listener, RequestLimits
 from larklb.gateway.servers import ServerConnections
+from larklb.gateway.serving_check import MIN_LOCAL_FAILURES, WINDOW_MS, ServingCheck
 from larklb.net.http import dial
 from larklb.schema import configuration as schema
 from larklb.schema.configuration import Tenant
@@ -442,6 +443,97 @@
     run_scenario(test, tenants=True)
 
 
+def is_clean(env: Environment) -> bool:
+    """Whether no connection, slot or request in progress is left behind."""
+    return (
+        env.servers.open_connections == sum(len(pool) for pool in env.servers.pools.values())
+        and not env.servers.dialling
+        and all(not server.in_flight for server in env.choice.servers.values())
+        and not env.data_plane.requests_in_progress
+    )
+
+
+@pytest.mark.parametrize("name", ["acme ", "\tacme", " acme \t", " ", "ac  me", "açmé", "漁師 "])
+def test_tenants_with_any_name_that_a_configuration_may_have_are_served(name: str) -> None:
+    """Guards against STARVED: requests of a tenant whose name ends with a blank got no answers."""
+    async def test(env: Environment) -> None:
+        changed = document(True)
+        changed["tenants"][0]["name"] = name
+        env.data_plane.active = prepare_configuration(schema.check(changed, 0))
+        for _ in range(30):  # more than there may be connections
+            got = await env.send("safe", headers=b"Authorization: Bearer k1\r\n")
+            assert got.status == 200
+        assert {got.headers[b"x-tenant"] for got in env.received} == {name.strip(" \t").encode()}
+        assert is_clean(env)
+    run_scenario(test, tenants=True)
+
+
+@pytest.mark.parametrize("route", ["safe", "unsafe"])
+@pytest.mark.parametrize("sent", [True, False])
+def test_unexpected_errors_of_attempts_are_answered_and_leak_nothing(
+        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, route: str, sent: bool) -> None:
+    """Guards against STARVED: each unexpected error leaked a connection, until nobody was served."""
+    async def test(env: Environment) -> None:
+        def fail(*arguments: Any, **keywords: Any) -> Any:
+            raise ArithmeticError("unexpected")
+        servers = list(env.choice.servers.values())
+        with monkeypatch.context() as patch:
+            if sent:
+                patch.setattr(env.servers, "_read_answer", fail)
+            else:  # the requests' heads can't be sent
+                env.choice.update([evolve(server, id=f"{server.id}\n") for server in servers])
+            for _ in range(30):  # more than there may be connections
+                got = await env.send(route)
+                assert got.status == (502 if sent else 503) and (b"retry-after" in got.headers) != sent
+            assert is_clean(env)
+        env.choice.update(servers)
+        assert sum("unexpected error on route" in r.message for r in caplog.records) == 1
+        assert env.servers.count["internal_error.attempt"] >= 30
+        env.received.clear()
+        assert (await env.send(route)).status == 200 and len(env.received) == 1
+        assert is_clean(env)
+    run_scenario(test)
+
+
+def test_unexpected_errors_while_choosing_a_server_are_answered(
+        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against CONFIG: an error in the choice of a server closed the connection without an answer."""
+    async def test(env: Environment) -> None:
+        def fail(*arguments: Any) -> Any:
+            raise KeyError("unexpected")
+        with monkeypatch.context() as patch:
+            patch.setattr(ServerSelector, "pick", fail)
+            got = await env.send("unsafe")
+        assert got.status == 503 and b"retry-after" in got.headers and not env.received
+        assert (await env.send("unsafe")).status == 200 and is_clean(env)
+        assert any("unexpected error on route unsafe" in record.message for record in caplog.records)
+    run_scenario(test)
+
+
+def test_unexpected_errors_of_a_handler_are_answered(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against LOST: the connection was closed without an answer."""
+    async def test(env: Environment) -> None:
+        async def fail(*arguments: Any) -> Any:
+            raise ArithmeticError("unexpected")
+        env.listener.handler = fail
+        got = await env.send("safe")
+        assert got.status == 500 and got.headers[b"connection"] == b"close"
+        assert any("unexpected error while handling" in record.message for record in caplog.records)
+    run_scenario(test)
+
+
+def test_limiter_that_can_serve_nobody_is_not_ready() -> None:
+    """Guards against STARVED: a limiter without free connections told the platform that it was ready."""
+    check = ServingCheck()
+    for n in range(MIN_LOCAL_FAILURES):
+        assert check.can_serve(10.0 * n), "a few failures say nothing"
+        check.record_local_failure(10.0 * n)
+    assert not check.can_serve(200.0)
+    assert check.can_serve(200.0 + 2 * WINDOW_MS), "new clients show whether the cause has gone"
+    check.record_served(150.0)
+    assert check.can_serve(200.0), "others are served"
+
+
 @pytest.mark.parametrize("head", [
     b"Content-Length: 5\r\nContent-Length: 6\r\n", b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
     b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", b"Transfer-Encoding : chunked\r\n",
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -21,10 +21,10 @@
 
 from larklb.schema import calls, configuration
 from larklb.schema.amendments import REMOVE_PARTS, UPSERT_PARTS, amend
-from larklb.schema.configuration import Configuration, check
+from larklb.schema.configuration import Configuration, check, read_stored
 from larklb.schema.document import digest, parse
 from larklb.schema.errors import MAX_PROBLEMS, InvalidError, UnreadableError
-from larklb.schema.routing import Keys, Routes
+from larklb.schema.routing import Keys, Routes, service_of
 
 PLAIN = settings(derandomize=True, deadline=None, max_examples=150)
 
@@ -117,6 +117,9 @@
     ("limits.idleMs", lambda d: d["limits"].update(idleMs=True)),
     ("tenants.keys", lambda d: d["tenants"].append({"name": "t", "keys": ["k3y-one"]})),
     ("tenants.name", lambda d: d["tenants"].append({"name": "yard"})),
+    ("tenants.name", lambda d: d["tenants"].append({"name": "yard "})),
+    ("tenants[0].name", lambda d: d["tenants"][0].update(name="two\nlines")),
+    ("tenants[0].name", lambda d: d["tenants"][0].update(name="ya\x00rd")),
     ("tenants[0].keys", lambda d: d["tenants"][0].update(keys="k3y-one")),
     ("tenants", lambda d: d.update(tenants={"k3y-one": 1})),
     ("version", lambda d: d.update(version=6)),
@@ -137,6 +140,24 @@
         "no key may appear in an error: whoever reads it in a log could use it")
 
 
+@pytest.mark.parametrize(("expected_field", "invalidate"), INVALID)
+def test_an_invalid_item_of_a_stored_configuration_stops_no_other(
+        expected_field: str, invalidate: Callable[[dict[str, Any]], Any]) -> None:
+    """Guards against STARVED: a version that took an item which a later one refuses would serve nobody."""
+    document = parse(EXAMPLE)
+    document["hosts"].append({"host": "calm.example", "paths": [route("calm", "/calm/", target="desk")]})
+    document["tenants"].append({"name": "calm", "keys": ["calm-key"]})
+    invalidate(document)
+    found, problems = read_stored(document, 6)
+    assert problems and expected_field in problems[0]
+    if expected_field not in ("services", "services[0]"):
+        calm = Routes(found).find("calm.example", "/calm/x")
+        assert calm is not None and service_of(calm, 0.5) == "desk"
+    if expected_field != "tenants":
+        tenant = Keys(found).tenant("calm-key")
+        assert tenant is not None and tenant.name == "calm"
+
+
 def test_problems_are_bounded() -> None:
     with pytest.raises(InvalidError) as caught:
         check(config({"h": [route("x" * 500, "nowhere") for _ in range(100)]}), 0)
