Two causes in one turn while a quota is asked end the request with an answer

What callers saw: a connection closed without an answer where a deadline and a shutdown, or a client's close, came in one turn of the loop. Cause: each cause cancelled the request's task; asyncio takes the second for a cancellation by other code, which is passed on. Change: only the first cause cancels. Evidence: test_two_causes_in_one_turn_end_a_quota_request_with_an_answer fails on (no answer) and passes now.

--- a/larklb/gateway/request_work.py
+++ b/larklb/gateway/request_work.py
@@ -74,6 +74,7 @@
     attempts: set[Attempt] = field(factory=set, init=False)
     # The task that is waiting for the decision on the quota.
     _quota_task: asyncio.Task[object] | None = field(default=None, init=False)
+    _quota_task_cancelled: bool = field(default=False, init=False)
     # Whether any attempt may have written a byte of the request.
     sent: bool = field(default=False, init=False)
     _finished: bool = field(default=False, init=False)
@@ -89,7 +90,9 @@
             self._client_gone_at = self.wheel.now()
         if self.ended_by is None:
             self.ended_by = cause
-        if self._quota_task is not None:
+        if self._quota_task is not None and not self._quota_task_cancelled:
+            # A second cancellation would count as one by other code.
+            self._quota_task_cancelled = True
             self._quota_task.cancel()
         if not self.attempts:
             phase = Phase.CHOOSING if self._quota_task is None else Phase.QUOTA
--- a/tests/test_request_cancellation.py
+++ b/tests/test_request_cancellation.py
@@ -191,6 +191,26 @@
     run_scenario(test, tenants=True)
 
 
+def test_two_causes_in_one_turn_end_a_quota_request_with_an_answer() -> None:
+    """Guards against LOST: the second cause cancelled the task, and its connection ended unanswered."""
+    async def test(env: Environment) -> None:
+        asked = asyncio.Event()
+
+        async def quota(tenant: Tenant) -> QuotaDecision | None:
+            asked.set()
+            await env.proceed.wait()
+            return None
+
+        env.data_plane.request_decision = quota
+        sending = asyncio.ensure_future(env.send("unsafe", headers=b"Authorization: Bearer k1\r\n"))
+        await asked.wait()
+        for work in tuple(env.data_plane.requests_in_progress):
+            work.end(Cause.SHUTDOWN)
+            work.end(Cause.DEADLINE)
+        assert (await sending).status == 503 and not env.received
+    run_scenario(test, tenants=True)
+
+
 @pytest.mark.parametrize("route", ["safe", "unsafe"])
 def test_nothing_is_sent_if_the_client_leaves_during_the_dial(
         monkeypatch: pytest.MonkeyPatch, route: str) -> None:
