Connection may not name Host or X-Attempt-Id; targets without a path have no route

What callers saw: a request with "Connection: host" (or x-attempt-id) was read and closed without an answer; CONNECT and "OPTIONS *" would have been sent on as a request for "/", a path that the client hadn't asked for (UNASKED). Cause: headers that Connection names were left out whatever they were, and a request without Host can't be sent; a target that isn't a path was made one. Change: these headers go along; CONNECT is answered 405; a target that is neither a path nor a URL has no route.

--- a/larklb/gateway/data_plane.py
+++ b/larklb/gateway/data_plane.py
@@ -181,9 +181,11 @@
         if active is None:
             self.count["refused.no_configuration"] += 1
             return error_reply(503, MAX_RETRY_AFTER_MS)
+        if head.method == b"CONNECT":  # asks for a tunnel, and names no path
+            return Reply(405, close=True)
         headers = dict(head.headers)
         request_target = bytes(head.target)
-        if not request_target.startswith(b"/"):
+        if b"://" in request_target and not request_target.startswith(b"/"):
             request_target = b"/" + request_target.partition(b"://")[2].partition(b"/")[2]
         host = headers.get(b"host", b"").decode("latin-1")
         route = active.routes.find(host, request_target.decode("latin-1"))
--- a/larklb/gateway/servers.py
+++ b/larklb/gateway/servers.py
@@ -61,6 +61,8 @@
         b"upgrade",
     )
 )
+# Headers that concern every recipient, so that Connection must not name them (RFC 9110, section 7.6.1).
+_NEVER_HOP_BY_HOP_HEADERS = frozenset((b"host", b"x-attempt-id", b"x-server-seal"))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 Headers = list[tuple[bytes, bytes]]
 
@@ -95,7 +97,7 @@
     """Returns the headers without the hop-by-hop ones, Content-Length and those in ``exclude``."""
     named = {
         part.strip().lower() for name, value in headers if name == b"connection" for part in value.split(b",")
-    }
+    } - _NEVER_HOP_BY_HOP_HEADERS
     return [
         (name, value)
         for name, value in headers
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -522,6 +522,34 @@
     run_scenario(test)
 
 
+@pytest.mark.parametrize("header", [
+    b"Connection: host\r\n", b"Connection: X-Attempt-Id, close\r\n", b"Connection: content-length\r\n",
+    b"Connection: upgrade\r\nUpgrade: h2c\r\n", b"X-Empty:\r\n", b"X-Odd: \x80\xff\x7f\r\n",
+    b"Keep-Alive: timeout=x\r\n", b"X-Tenant: a\r\nX-Tenant: b\r\n", b"Trailer: X-Odd\r\n",
+    b"Expect: something\r\n", b"X-Time-Left: nan\r\n", b"X-Time-Left: 1e999\r\n"])
+def test_requests_with_odd_headers_are_served(header: bytes) -> None:
+    """Guards against LOST: headers that are accepted must not be ones that can't be sent on."""
+    async def test(env: Environment) -> None:
+        got = await env.send("unsafe", headers=header)
+        assert got.status == 200 and env.received[0].headers[b"host"] == b"H.example:80"
+        assert env.received[0].headers[b"x-attempt-id"] == b"a1" and is_clean(env)
+    run_scenario(test)
+
+
+@pytest.mark.parametrize(("line", "status"), [
+    (b"CONNECT h.example:80 HTTP/1.1", 405), (b"OPTIONS * HTTP/1.1", 404), (b"GET h.example HTTP/1.1", 404),
+    (b"GET http://h.example/safe/x HTTP/1.1", 200), (b"PURGE /safe/x HTTP/1.1", 200)])
+def test_targets_that_are_no_paths(line: bytes, status: int) -> None:
+    """The path must reach the server unchanged, so that a target without one has no route."""
+    async def test(env: Environment) -> None:
+        reader, writer = await env.connect()
+        writer.write(line + b"\r\nHost: h.example\r\nX-Attempt-Id: a1\r\n\r\n")
+        got = await read(reader)
+        assert got is not None and got.status == status and len(env.received) == (status == 200)
+        assert is_clean(env)
+    run_scenario(test)
+
+
 def test_limiter_that_can_serve_nobody_is_not_ready() -> None:
     """Guards against STARVED: a limiter without free connections told the platform that it was ready."""
     check = ServingCheck()
