Routes with a setpoint of 0 are served, and numbers of any size don't stop a route

Cause: CapacityAwareSelector.pick wrote longest_setpoints[target] only where a setpoint is above 0, and read it in any case: KeyError. Change: a service without any setpoint has no limit by it. On related paths: setpoints count as an hour at most, saturation and capacity as 2^20 (400 digits overflowed floats), gains are taken relative to the largest (their sum was infinite), and X-Base-Version may be as long as a version (18 digits ended all further orders).

--- a/larklb/balancing/choice.py
+++ b/larklb/balancing/choice.py
@@ -65,6 +65,8 @@
 COST_JITTER = 0.04
 # If all servers report that they are full, one whose report is older than this is tried: it may be wrong.
 FULL_RETRY_MS = 1_000.0
+# A longer latency setpoint counts as this one: no request is held as long, and costs must stay finite.
+MAX_SETPOINT_MS = 3_600_000.0
 # Upper bound of the requests in flight at one server whose start is recorded.
 MAX_PENDING = 4_096
 
@@ -336,6 +338,7 @@
         """
         self._add_answer_without_load_report()
         self.last_call_at, self.last_route = now, route
+        setpoint = min(setpoint, MAX_SETPOINT_MS)
         if not self.exchange_enabled:  # without messages of peers this is no better than the base class
             return ServerSelector.pick(self, now, target, route, setpoint, exclude, caller)
         if caller is not None and target in self.assignments:
@@ -348,7 +351,9 @@
             self.route_service_time(route),
             self.service_ms.get(target, admission.INITIAL_LATENCY_MS),
         )
-        route_ms, longest_setpoint = service_time.mean_ms(), self.longest_setpoints[target]
+        # A service whose routes all have a setpoint of 0 has none: its queues may be as long as ever.
+        route_ms = service_time.mean_ms()
+        longest_setpoint = self.longest_setpoints.get(target, math.inf)
         log_mean, steepness = service_time.log_mean, 1.702 / math.sqrt(max(service_time.log_variance, 0.01))
         # ``limit`` is for this limiter alone, ``max_in_flight`` for all limiters together.
         best, min_cost, limit = None, math.inf, self.in_flight_limit(target)
--- a/larklb/gateway/control.py
+++ b/larklb/gateway/control.py
@@ -23,6 +23,10 @@
 
 JSON = (b"Content-Type", b"application/json")
 MAX_QUERY_FIELDS = 8
+# Python converts longer numbers only if told to; ``schema.document`` reads none that are longer either.
+MAX_VERSION_DIGITS = 4_300
+# A server that handles more requests at once has no limit in effect.
+MAX_SLOTS = 1 << 20
 
 
 @define(frozen=True)
@@ -67,7 +71,7 @@
                 heartbeat.target,
                 heartbeat.address,
                 heartbeat.zone,
-                heartbeat.capacity,
+                min(heartbeat.capacity, MAX_SLOTS),
                 heartbeat.version,
                 DRAINING if heartbeat.state == "draining" else STEADY,
                 heartbeat.sequence,
@@ -99,7 +103,7 @@
 
     async def _change(self, kind: str, head: h11.Request, body: bytes) -> Reply:
         base = dict(head.headers).get(calls.BASE_VERSION_HEADER.encode(), b"")
-        if not base.isdigit() or len(base) > 18:
+        if not base.isdigit() or len(base) > MAX_VERSION_DIGITS:
             return _invalid(["X-Base-Version: must be the version that the change builds on"])
         try:
             text = body.decode()
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -98,6 +98,8 @@
 METRICS_CONNECTIONS = 4
 METRICS_PATH = b"/metrics"
 DEFAULT_OPTIONS = Options()
+# A server that takes more connections than this has no limit in effect.
+MAX_SATURATION = 1 << 20
 # Fraction of a server's connections that all limiters together may use.
 USABLE_CONNECTIONS_FRACTION = 0.8
 
@@ -326,11 +328,10 @@
         for problem in problems:
             log.error("gateway: the configuration has an invalid item, which is left out: %s.", problem)
         self.data_plane.active = prepare_configuration(checked)
-        limits = checked.limits
-        self.edge.limits = RequestLimits(
-            limits.header_bytes, limits.body_bytes, limits.header_ms, limits.idle_ms
-        )
-        self.saturation = {service.name: service.saturation for service in checked.services}
+        self.edge.limits = _request_limits(checked.limits)
+        self.saturation = {
+            service.name: min(service.saturation, MAX_SATURATION) for service in checked.services
+        }
         self.quotas.set_allowances(
             self.wheel.now(),
             checked.version,
@@ -389,7 +390,8 @@
     def _in_flight_limit(self, target: str) -> int:
         """Returns how many requests this limiter may have in flight at one server of a service."""
         limiters = self._limiter_count()
-        limit = max(2, int(self.saturation.get(target, 1 << 20) * USABLE_CONNECTIONS_FRACTION / limiters))
+        saturation = self.saturation.get(target, MAX_SATURATION)
+        limit = max(2, int(saturation * USABLE_CONNECTIONS_FRACTION / limiters))
         if not self.settings.bootstrap and self.wheel.now() - self.started_at < RESTART_RAMP_MS:
             # All limiters may have restarted together and may know only a few servers, which must not get
             # all requests.
--- a/larklb/schema/routing.py
+++ b/larklb/schema/routing.py
@@ -16,9 +16,11 @@
         if route.target is None:
             raise LookupError(f"route {route.name} has no service")
         return route.target
-    remaining = fraction * sum(share.gain for share in shares)
+    # Relative to the largest gain, so that the sum of very large ones is finite.
+    largest = max(share.gain for share in shares)
+    remaining = fraction * sum(share.gain / largest for share in shares)
     for share in shares:
-        remaining -= share.gain
+        remaining -= share.gain / largest
         if remaining < 0:
             return share.target
     # Rounding errors may leave a positive remainder after the last share.
--- a/tests/test_balancing.py
+++ b/tests/test_balancing.py
@@ -207,6 +207,20 @@
                 choice.record_load(now, place, 0, 0)
 
 
+@pytest.mark.parametrize("setpoint", [0.0, 5e-324, 1e-9, 1e300, 1.7e308])
+def test_routes_with_any_setpoint_are_served(setpoint: float) -> None:
+    """Guards against CONFIG: no request was served on a route with a setpoint of 0."""
+    choice = make_choice()
+    for n in range(12):  # as many as all slots of the service
+        server = choice.pick(10.0 * n, "t", "r", setpoint)
+        assert server is not None and math.isfinite(choice.load(10.0 * n, server))
+        choice.record_start(server)
+    for server in choice.servers.values():
+        while server.in_flight:
+            choice.record_answer(1_000.0, server, "r", 40.0, True)
+    assert choice.pick(1_000.0, "t", "r", setpoint) is not None
+
+
 @pytest.mark.parametrize("load", [True, False])
 def test_slow_server_is_found_and_expensive_routes_count_against_none(load: bool) -> None:
     choice = make_choice()
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -293,6 +293,22 @@
 def test_cost_of_path_with_many_slashes_is_bounded() -> None:
     """The number of lookups depends on the configured prefixes, not on the length of the path."""
     routes, events = Routes(check(config({"h": [route("r", "/a/b/")]}), 0)), list[str]()
+    for gain in (5e-324, 1.7e308):  # each of which is half
+        shares = [{"target": "a", "gain": gain}, {"target": "b", "gain": gain}, {"target": "b", "gain": 0}]
+        found = check(config({"h": [route("r", "/", distribution=shares)]}), 0).hosts[0].paths[0]
+        assert [Routes.service_of(found, i / 10) for i in range(10)] == ["a"] * 5 + ["b"] * 5
+
+
+def test_keys_are_found_as_headers_carry_them() -> None:
+    """Guards against DENIED: a key with a blank at an end, or beyond ASCII, was answered 401."""
+    tenants = [{"name": "t", "keys": ["plain", "end ", "\tboth ", " ", "clé", "鍵"]}]
+    keys = Keys(check(config({"h": [route("r", "/")]}) | {"tenants": tenants}, 0))
+    for received in ("plain", "end", "both", "clé", "clé".encode().decode("latin-1"),
+                     "鍵".encode().decode("latin-1")):
+        assert keys.tenant(received) is not None, received
+    assert keys.tenant("") is None and keys.tenant("cle") is None
+    with pytest.raises(InvalidError, match="keys"):
+        check(config({"h": [route("r", "/")]}) | {"tenants": [*tenants, {"name": "u", "keys": ["end"]}]}, 0)
     sys.setprofile(lambda _frame, event, _argument: events.append(event))
     try:
         found = routes.find("h", "/" * 5000)
