A tenant with a rate and no burst is served at its rate

A burst below 1 or of 1e30 refused requests too. Cause: a bucket that holds less than one token never admits; arithmetic on 1e30 tokens isn't exact. Change: without a burst half of the overshoot that the terms permit, and a quarter of the slack, serve as one; bursts are 1 to 1e9, rates 1e9 at most. The rule QUOTA still counts no burst for such a tenant.

--- a/larklb/admission/quota_records.py
+++ b/larklb/admission/quota_records.py
@@ -32,6 +32,13 @@
 # Fraction of ``OvershootBound.slack`` that the slices may use; the rest covers events that are noticed late.
 SLACK_FRACTION = 0.75
 
+# Fractions of the permitted overshoot and slack that a tenant without a configured burst may use as one.
+DEFAULT_BURST_OVERSHOOT_FRACTION = 0.5
+DEFAULT_BURST_SLACK_FRACTION = 0.25
+# Rates (per second) and bursts beyond these have no effect that could be noticed; arithmetic must stay exact.
+MAX_RATE = 1e9
+MAX_BURST = 1e9
+
 # Values of ``QuotaDecision.decided_by``.
 OWNER: Final = "owner"
 ASKED: Final = "asked"
@@ -62,6 +69,17 @@
     burst: float
 
 
+def configured_allowance(tenant: str, rate: float, burst: float, bound: OvershootBound) -> Allowance:
+    """Returns the allowance for a tenant with this configured rate and burst, each 0 if none is given.
+
+    Without a burst, requests that come unevenly would all be refused, so that a part of the overshoot that
+    ``bound`` permits is allowed. A burst always allows one request."""
+    if burst == 0:
+        overshoot = bound.overshoot * bound.window_s * rate
+        burst = DEFAULT_BURST_OVERSHOOT_FRACTION * overshoot + DEFAULT_BURST_SLACK_FRACTION * bound.slack
+    return Allowance(tenant, min(rate, MAX_RATE), min(max(1.0, burst), MAX_BURST))
+
+
 @define
 class QuotaDecision:
     """The decision on one request.
--- a/larklb/admission/quota_slices.py
+++ b/larklb/admission/quota_slices.py
@@ -37,7 +37,7 @@
             count = self._limiter_count()
             tokens = min(1.0, NO_COPY_TOKENS / count, allowance.burst / count)
             tenant_slice = self._slices[allowance.tenant] = Slice(
-                allowance.rate, allowance.burst, tokens, now, now, self._bound
+                allowance.rate, allowance.burst, tokens, now, now, self.bound
             )
         elif tenant_slice.rate != allowance.rate or tenant_slice.burst != allowance.burst:
             tenant_slice.fill(now, self._limiter_count())
--- a/larklb/admission/quota_state.py
+++ b/larklb/admission/quota_state.py
@@ -51,7 +51,7 @@
         afterwards may have existed before.  ``seed`` determines the jitter of circuit breakers.
         """
         self._random = random.Random(seed)
-        self._bound = bound or OvershootBound()
+        self.bound = bound or OvershootBound()
         # 48 bits, so that every JSON reader represents the number exactly.
         self._incarnation = digest(f"{node} {seed} {now}") >> 16
         self._node = node
@@ -72,7 +72,7 @@
         self._last_ask_number = 0
         self._config_version = 0
         self._allowances: dict[str, Allowance] = {}
-        self._log = QuotaLog(self._bound.window_s * 1000.0)
+        self._log = QuotaLog(self.bound.window_s * 1000.0)
         self._grants = ShareGrants.at_start(now, lease_durations or LeaseDurations(), first_start=first_start)
         # Owned tenants that need more shares, in the order in which these are requested, and messages that
         # release leases, each with its receiver.
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -25,7 +25,7 @@
 
 from larklb.admission.budget import RetryBudget
 from larklb.admission.choice import ServerState
-from larklb.admission.quota_records import Allowance, OvershootBound
+from larklb.admission.quota_records import OvershootBound
 from larklb.admission.quotas import Quotas
 from larklb.admission.share_leases import LeaseDurations
 from larklb.balancing.choice import CapacityAwareSelector
@@ -335,10 +335,7 @@
         self.quotas.set_allowances(
             self.wheel.now(),
             checked.version,
-            {
-                tenant.name: Allowance(tenant.name, tenant.rate_per_s, tenant.burst)
-                for tenant in checked.tenants or ()
-            },
+            {tenant.name: self.quota_exchange.allowance_of(tenant) for tenant in checked.tenants or ()},
         )
         log.info("gateway: version %d is in force.", checked.version)
 
--- a/larklb/gateway/quota_exchange.py
+++ b/larklb/gateway/quota_exchange.py
@@ -12,7 +12,7 @@
 
 from attrs import define
 
-from larklb.admission.quota_records import Allowance, Ask, QuotaDecision
+from larklb.admission.quota_records import Allowance, Ask, QuotaDecision, configured_allowance
 from larklb.admission.quotas import Quotas
 from larklb.gateway.messages import Message, QuotaMessage
 from larklb.membership.members import Member
@@ -79,6 +79,10 @@
         self.quotas.set_limiters(now, nodes, local_number if local_number >= 0 else None)
         self._send_lease_messages(now)
 
+    def allowance_of(self, tenant: Tenant) -> Allowance:
+        """Returns the allowance that the configuration gives to a tenant."""
+        return configured_allowance(tenant.name, tenant.rate_per_s, tenant.burst, self.quotas.bound)
+
     async def request_decision(self, tenant: Tenant) -> QuotaDecision | None:
         """Returns the decision on one request of a tenant, after asking the owner if necessary."""
         future: asyncio.Future[QuotaDecision] = asyncio.get_running_loop().create_future()
@@ -87,7 +91,7 @@
             if not future.done():
                 future.set_result(decision)
 
-        self.start_request(Allowance(tenant.name, tenant.rate_per_s, tenant.burst), done)
+        self.start_request(self.allowance_of(tenant), done)
         return await future
 
     def start_request(self, allowance: Allowance, done: Done) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -22,7 +22,14 @@
 
 from larklb.admission import quota_owner
 from larklb.admission.budget import RetryBudget
-from larklb.admission.quota_records import Allowance, Ask, OwnedBucket, QuotaDecision
+from larklb.admission.quota_records import (
+    Allowance,
+    Ask,
+    OvershootBound,
+    OwnedBucket,
+    QuotaDecision,
+    configured_allowance,
+)
 from larklb.admission.quotas import Quotas
 from larklb.admission.share_leases import LeaseDurations, ShareGrants
 from larklb.quota.breaker import CircuitBreaker
@@ -261,6 +268,36 @@
     assert net.refused <= 0.005 * net.requests, (net.refused, net.requests)
 
 
+@pytest.mark.parametrize("rate", [50.0, 8.0])
+def test_a_tenant_without_a_burst_is_served_at_its_rate(rate: float) -> None:
+    """Guards against refusals below a limit: with a rate and no burst each request was refused."""
+    net = QuotaNetwork(configured_allowance("huka270", rate, 0.0, OvershootBound()), 3)
+    net.add_load(0, 60000, rate * 0.7)
+    net.run(60000)
+    assert net.refused <= 0.005 * net.requests, (net.refused, net.requests)
+
+
+@pytest.mark.parametrize("rate", [50.0, 8.0])
+@pytest.mark.parametrize("disturbance", DISTURBANCES)
+def test_a_tenant_without_a_burst_stays_within_the_bound(
+        disturbance: Callable[[QuotaNetwork], None], rate: float) -> None:
+    """The rule QUOTA knows only the configured burst, which is 0."""
+    net = overload(disturbance, 1, configured_allowance("huka270", rate, 0.0, OvershootBound()))
+    net.allowance = Allowance("huka270", rate, 0.0)
+    assert net.excess() <= 0, net.decisions
+
+
+@pytest.mark.parametrize(("rate", "burst"), [(1e308, 1e308), (10**18, 0.0), (1e-320, 1e-320), (50.0, 0.5)])
+def test_a_quota_of_any_size_admits_a_request(rate: float, burst: float) -> None:
+    """Guards against STARVED: numbers beyond those that arithmetic is exact for refused each request."""
+    allowance = configured_allowance("t", rate, burst, OvershootBound())
+    assert 1.0 <= allowance.burst <= 1e9 and allowance.rate <= 1e9
+    owner = Quotas("x", 0.0, 1, first_start=True)
+    owner.set_limiters(0.0, {0: "x"}, 0)
+    decision = owner.request(10_000.0, allowance)
+    assert isinstance(decision, QuotaDecision) and decision.allowed
+
+
 @pytest.mark.parametrize("disturbance",
                          [crash, quick_restart, partition_splits_ring, partition_keeps_ring, loss])
 def test_a_disturbance_costs_little_of_an_overloaded_tenants_quota(
