Half of a surrogate pair is refused where it enters, and replaced where it is stored

Cause: JSON allows the escape, Python's parser takes it, and messages between limiters can't encode it, at each try anew. Change: parse refuses it, in orders and heartbeats, with 400; bodies are UTF-8 (a heartbeat in UTF-16 was taken). Where an earlier version has stored one, it is replaced when the log is read: no other disk can have it, as it couldn't be sent.

--- a/larklb/consensus/log.py
+++ b/larklb/consensus/log.py
@@ -27,9 +27,20 @@
 
 
 def decode(value: bytes) -> dict[str, Any]:
-    """Decodes a stored JSON object. Raises MalformedError."""
+    """Decodes a stored JSON object. Raises MalformedError.
+
+    An earlier version may have stored halves of surrogate pairs, which can't be sent to other machines. Each
+    is replaced: no other disk can have it."""
     try:
-        decoded = json.loads(value.decode("utf-8", "surrogatepass"))
+        try:
+            text = value.decode()
+        except UnicodeDecodeError:
+            text = (
+                value.decode("utf-8", "surrogatepass")
+                .encode("utf-16", "surrogatepass")
+                .decode("utf-16", "replace")
+            )
+        decoded = json.loads(text)
     except ValueError as error:
         raise MalformedError("a stored value is not valid JSON") from error
     if not isinstance(decoded, dict):
--- a/larklb/schema/document.py
+++ b/larklb/schema/document.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 from typing import Any, NoReturn
 
 from xxhash import xxh3_128_hexdigest
@@ -16,6 +17,10 @@
 MAX_DEPTH = 64
 
 
+# How a surrogate is written in JSON; most documents contain none. UTF-8 itself has no bytes for one.
+_SURROGATE_ESCAPE = re.compile(rb"\\u[dD][89a-fA-F]")
+
+
 def _reject_constant(constant: str) -> NoReturn:
     raise ValueError(f"{constant} is no JSON")
 
@@ -30,11 +35,15 @@
 def parse(body: bytes) -> Document:
     """Parse `body` as a JSON object. The caller bounds its size.
 
-    Raises UnreadableError if it is not valid JSON, has trailing bytes, is not an object, is nested more than
-    MAX_DEPTH levels deep, or contains NaN or infinite numbers.
+    Raises UnreadableError if it is not valid JSON in UTF-8, has trailing bytes, is not an object, is nested
+    more than MAX_DEPTH levels deep, or contains NaN, infinite numbers, or a half of a surrogate pair, which
+    is no text and can't be encoded.
     """
     try:
-        document = json.loads(body, parse_constant=_reject_constant, parse_float=_parse_finite)
+        text = body.decode("utf-8-sig")
+        document = json.loads(text, parse_constant=_reject_constant, parse_float=_parse_finite)
+        if _SURROGATE_ESCAPE.search(body):
+            json.dumps(document, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as error:
         raise UnreadableError(f"no JSON: {str(error)[:MAX_SHOWN_CHARACTERS]}") from error
     if not isinstance(document, dict):
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -24,7 +24,7 @@
 from larklb.consensus.calls import PendingCalls
 from larklb.consensus.group import Liveness, majority, next_voters, target_voter_count
 from larklb.consensus.history import MAX_HISTORY, ChangeOutcome, History
-from larklb.consensus.log import Entry, Log, Snapshot
+from larklb.consensus.log import Entry, Log, Snapshot, decode, encode
 from larklb.consensus.messages import InstallSnapshot
 from larklb.consensus.replica import Answer, Call, InvalidChangeError, Ready, Replica
 
@@ -1154,3 +1154,12 @@
     world.keep_id = fault is blank_disk_votes
     with pytest.raises(BrokenError):
         case(world)
+
+
+def test_stored_halves_of_surrogate_pairs_are_replaced() -> None:
+    """Guards against a log that stops for good: an entry with such a text can't be sent to other machines."""
+    stored = encode({"a": ["x\ud800y", "\udfff"], "b": "\ud83d\ude00", "c": "é😀"})
+    decoded = decode(stored)
+    assert decoded == {"a": ["x\ufffdy", "\ufffd"], "b": "😀", "c": "é😀"}
+    assert msgspec.json.decode(msgspec.json.encode(decoded)) == decoded
+    assert decode(encode(decoded)) == decoded
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -170,9 +170,14 @@
             with pytest.raises(UnreadableError):
                 parse(body[:end])
     for invalid in (EXAMPLE + b"}", b"[]", b'{"a":NaN}', b'{"a":-Infinity}', b'{"a":1e999}', b'{"a":"\xff"}',
+                b'{"a":"\\ud800"}', b'{"a":["x\\uDFFFy"]}', b'{"\\udc00":1}', b'{"a":"\\udc00\\ud800"}',
+                b'{"a":"\xed\xa0\x80"}', '{"a":1}'.encode("utf-16"),
                 b'{"a":' * 65 + b"1" + b"}" * 65, b"[" * 100_000, b'{"a":' + b"9" * 5000 + b"}"):
         with pytest.raises(UnreadableError):
             parse(invalid)
+    for valid in ('{"a":"\\ud83d\\ude00"}', '{"a":"😀"}', '\ufeff{"a":"😀"}'):
+        assert parse(valid.encode()) == {"a": "😀"}
+    assert parse(b'{"a":"\\\\ud800"}') == {"a": "\\ud800"}, "a backslash, and no surrogate"
 
 
 # --- amendments, compared with a simple model: a dictionary of routes by name for each host, in order
