Keys are found as headers carry them: without blanks at the ends, in UTF-8 or Latin-1

What callers saw: 401 for each request with a key that has a blank at an end or letters beyond ASCII, though the configuration has it. Cause: HTTP doesn't transmit such blanks, and the header was read as Latin-1 and compared with the text. Change: keys are looked up in the forms in which they are received; two tenants' keys that differ in such blanks alone are the same key (400). A name that no header can carry is still refused, but a stored one costs its tenant no key.

--- a/larklb/gateway/data_plane.py
+++ b/larklb/gateway/data_plane.py
@@ -250,7 +250,9 @@
         if not active.keys.needed:
             return None, None
         scheme, _, key = headers.get(b"authorization", b"").partition(b" ")
-        tenant = active.keys.tenant(key.strip().decode("latin-1")) if scheme.lower() == b"bearer" else None
+        tenant = (
+            active.keys.tenant(key.strip(b" \t").decode("latin-1")) if scheme.lower() == b"bearer" else None
+        )
         if tenant is None and not route.unkeyed:
             self.count["no_key"] += 1
             return None, error_reply(401)
--- a/larklb/schema/configuration.py
+++ b/larklb/schema/configuration.py
@@ -20,7 +20,7 @@
     read_version,
     wire,
 )
-from larklb.schema.header_text import parse_header_text, visible_text
+from larklb.schema.header_text import can_be_sent, visible_text
 
 # A route is invalid if its setpoint exceeds its timeout by this much or more.
 INVALID_SETPOINT_EXCESS_MS = 60_000.0
@@ -127,13 +127,14 @@
 class Tenant(Item):
     """A tenant and its keys.
 
-    Servers are sent `name` in a header, which doesn't transmit blanks at its ends.
+    Servers are sent `name`, and clients send one of `keys`, in a header, which doesn't transmit blanks at its
+    ends.
 
     `rate_per_s` limits its requests per second over all machines together, with bursts of up to `burst`
     requests; 0 means no limit. `precedence` is the rank, with 0 as the highest, and overrides the route's.
     """
 
-    name: str = field(metadata=wire("name", parse_header_text))
+    name: str
     keys: list[str] = field(default_factory=list, metadata=wire("keys", _parse_keys))
     precedence: int = 0
     rate_per_s: float = field(default=0.0, metadata=wire("ratePerS"))
@@ -265,13 +266,18 @@
     if document.get("tenants") is None:
         return None
     tenants = _read_items(Tenant, document, "tenants", problems)
+    problems += [
+        format_problem(f"tenants.name[{index}]", tenant.name, "a string without control characters")
+        for index, tenant in enumerate(tenants)
+        if not can_be_sent(tenant.name)
+    ]
     # Servers couldn't tell two tenants apart whose names differ only in blanks at the ends.
     visible_names = (visible_text(tenant.name) for tenant in tenants)
     _check_unique(visible_names, "tenants.name", problems, "each name once, apart from blanks at its ends")
     holders: dict[str, str] = {}
     for tenant in tenants:
         for key in tenant.keys:
-            holder = holders.setdefault(key, tenant.name)
+            holder = holders.setdefault(visible_text(key), tenant.name)
             if holder != tenant.name:
                 problems.append(
                     format_problem(
--- a/larklb/schema/header_text.py
+++ b/larklb/schema/header_text.py
@@ -5,20 +5,14 @@
 """
 
 import re
-from typing import Any
 
 _BLANKS = " \t"
 _CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
-def parse_header_text(value: Any) -> str:
-    """Return a non-empty string that a header can carry.
-
-    Raises ValueError with a description of the values it accepts.
-    """
-    if not isinstance(value, str) or not value or _CONTROL_CHARACTERS.search(value):
-        raise ValueError("a string that isn't empty, without control characters")
-    return value
+def can_be_sent(text: str) -> bool:
+    """Return whether a header can carry a text."""
+    return _CONTROL_CHARACTERS.search(text) is None
 
 
 def visible_text(text: str) -> str:
@@ -29,3 +23,13 @@
 def header_value(text: str) -> bytes:
     """Return a text as the value of a header, in UTF-8."""
     return visible_text(text).encode()
+
+
+def received_forms(text: str) -> set[str]:
+    """Return the forms in which a text may be received, decoded as Latin-1.
+
+    Clients send texts beyond ASCII in UTF-8 or in Latin-1."""
+    forms = {header_value(text).decode("latin-1")}
+    if all(ord(character) < 256 for character in text):
+        forms.add(visible_text(text))
+    return forms
--- a/larklb/schema/routing.py
+++ b/larklb/schema/routing.py
@@ -1,6 +1,7 @@
 """Lookup of the route of a request, selection of its service, and lookup of the tenant by key."""
 
 from larklb.schema.configuration import Configuration, Route, Tenant, targets
+from larklb.schema.header_text import received_forms
 
 __all__ = ["Keys", "Routes", "service_of", "targets"]
 
@@ -84,8 +85,14 @@
     def __init__(self, configuration: Configuration) -> None:
         self.needed = configuration.tenants is not None
         # An empty key would admit any client that sends an empty one.
-        self._tenants = {key: tenant for tenant in configuration.tenants or () for key in tenant.keys if key}
+        self._tenants = {
+            form: tenant
+            for tenant in configuration.tenants or ()
+            for key in tenant.keys
+            for form in received_forms(key)
+            if form
+        }
 
     def tenant(self, key: str) -> Tenant | None:
-        """Return the tenant that holds `key`, or None."""
+        """Return the tenant that holds a key, as received in a header and decoded as Latin-1, or None."""
         return self._tenants.get(key)
--- a/tests/test_schema.py
+++ b/tests/test_schema.py
@@ -118,8 +118,8 @@
     ("tenants.keys", lambda d: d["tenants"].append({"name": "t", "keys": ["k3y-one"]})),
     ("tenants.name", lambda d: d["tenants"].append({"name": "yard"})),
     ("tenants.name", lambda d: d["tenants"].append({"name": "yard "})),
-    ("tenants[0].name", lambda d: d["tenants"][0].update(name="two\nlines")),
-    ("tenants[0].name", lambda d: d["tenants"][0].update(name="ya\x00rd")),
+    ("tenants.name[0]", lambda d: d["tenants"][0].update(name="two\nlines")),
+    ("tenants.name[0]", lambda d: d["tenants"][0].update(name="ya\x00rd")),
     ("tenants[0].keys", lambda d: d["tenants"][0].update(keys="k3y-one")),
     ("tenants", lambda d: d.update(tenants={"k3y-one": 1})),
     ("version", lambda d: d.update(version=6)),
@@ -293,11 +293,6 @@
     shares = [{"target": "a", "gain": 1.4}, {"target": "b", "gain": 4.1}, {"target": "a", "gain": 0}]
     found = check(config({"h": [route("r", "/", distribution=shares)]}), 0).hosts[0].paths[0]
     assert Routes.service_of(found, 1 - 2**-53) == "b"
-
-
-def test_cost_of_path_with_many_slashes_is_bounded() -> None:
-    """The number of lookups depends on the configured prefixes, not on the length of the path."""
-    routes, events = Routes(check(config({"h": [route("r", "/a/b/")]}), 0)), list[str]()
     for gain in (5e-324, 1.7e308):  # each of which is half
         shares = [{"target": "a", "gain": gain}, {"target": "b", "gain": gain}, {"target": "b", "gain": 0}]
         found = check(config({"h": [route("r", "/", distribution=shares)]}), 0).hosts[0].paths[0]
@@ -314,6 +309,11 @@
     assert keys.tenant("") is None and keys.tenant("cle") is None
     with pytest.raises(InvalidError, match="keys"):
         check(config({"h": [route("r", "/")]}) | {"tenants": [*tenants, {"name": "u", "keys": ["end"]}]}, 0)
+
+
+def test_cost_of_path_with_many_slashes_is_bounded() -> None:
+    """The number of lookups depends on the configured prefixes, not on the length of the path."""
+    routes, events = Routes(check(config({"h": [route("r", "/a/b/")]}), 0)), list[str]()
     sys.setprofile(lambda _frame, event, _argument: events.append(event))
     try:
         found = routes.find("h", "/" * 5000)
