headerBytes holds, and a limit of 0 stands for the default

What callers saw: heads were limited to 16 KiB whatever headerBytes said; with headerMs or idleMs of 0 connections ended at once. Cause: the value was read and used by nothing; 0 was taken literally. Change: a longer head is answered 431; up to 64 KiB may be allowed. 0 stands for the default, as for other values that aren't given.

--- a/larklb/gateway/listener.py
+++ b/larklb/gateway/listener.py
@@ -32,6 +32,9 @@
 # Statuses of refusals after which part of the request may be unread.
 _LINGERING_STATUSES = (400, 408, 413, 431, 501)
 
+# Longest head of a request, whatever the limits are.
+MAX_HEAD_BYTES = 64 * 1024
+
 RequestHandler = Callable[[h11.Request, bytes, Link], Awaitable[Reply]]
 
 
@@ -44,6 +47,18 @@
     head_ms: float = 10_000.0
     idle_ms: float = 30_000.0
 
+    @property
+    def max_head(self) -> int:
+        """The longest head that is read, in bytes."""
+        return min(self.head_bytes, MAX_HEAD_BYTES)
+
+
+def _head_size(head: h11.Request) -> int:
+    """Returns the size in bytes of a request's first line and headers, without blanks around values."""
+    separators = len(b"  HTTP/1.1\r\n\r\n")
+    headers = sum(len(name) + len(value) + len(b": \r\n") for name, value in head.headers)
+    return len(head.method) + len(head.target) + separators + headers
+
 
 class Listener:
     """One listening address and its connections."""
@@ -66,7 +81,9 @@
 
         def on_connect(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             assert isinstance(reader, ClientReader)
-            task = loop.create_task(self._serve_connection(Link(reader, writer, h11.SERVER)))
+            link = Link(reader, writer, h11.SERVER)
+            link.http = h11.Connection(h11.SERVER, max_incomplete_event_size=self.limits.max_head)
+            task = loop.create_task(self._serve_connection(link))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
@@ -144,6 +161,8 @@
             if head is None:
                 return False
             link.busy = True
+            if link.received_bytes > self.limits.max_head and _head_size(head) > self.limits.max_head:
+                return await self._refuse(link, 431)
             if (link.length or 0) > self.limits.body_bytes:
                 raise TooLongError
             body = []
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -469,6 +469,17 @@
         )
 
 
+def _request_limits(limits: schema.Limits) -> RequestLimits:
+    """Returns the limits on requests of a configuration; 0 stands for the default."""
+    default = schema.Limits()
+    return RequestLimits(
+        limits.header_bytes or default.header_bytes,
+        limits.body_bytes or default.body_bytes,
+        limits.header_ms or default.header_ms,
+        limits.idle_ms or default.idle_ms,
+    )
+
+
 def _load_disk(store: Store, folder: str) -> tuple[dict[str, bytes] | None, str]:
     """Returns the values stored on a core machine's disk, None if it is blank, and the disk's id.
 
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -710,6 +710,19 @@
     run_scenario(test)
 
 
+def test_the_configured_size_of_heads_holds() -> None:
+    """headerBytes had no effect: heads were limited to 16 KiB whatever it said."""
+    async def test(env: Environment) -> None:
+        for head_bytes, size, status in (
+                (1_000, 500, 200), (1_000, 1_500, 431), (40_000, 30_000, 200), (40_000, 50_000, 431),
+                (1 << 30, 50_000, 200), (1 << 30, 80_000, 431)):
+            env.listener.limits = RequestLimits(head_bytes=head_bytes)
+            assert (await env.send("safe", headers=b"X-Long: %b\r\n" % (b"x" * size))).status == status
+        env.listener.limits = RequestLimits(head_bytes=1_000)
+        assert (await env.send("safe", body=b"x" * 5_000)).status == 200, "the body isn't part of the head"
+    run_scenario(test)
+
+
 def test_stalled_body_ends_the_connection() -> None:
     async def test(env: Environment) -> None:
         env.listener.limits = RequestLimits(head_ms=40, idle_ms=60)
