Signals that arrive before a limiter can handle them wait until it can

Cause: handlers are set after the imports; until then a signal has its default action. Change: SIGHUP, SIGTERM and SIGINT are blocked before the first import that takes long, and let through once their handlers are set. What is left is the start of the interpreter itself, some hundredths of a second.

--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -45,6 +45,7 @@
 from larklb.gateway.options import Options
 from larklb.gateway.quota_exchange import QuotaExchange
 from larklb.gateway.servers import Reply, ServerConnections
+from larklb.gateway.startup_signals import HANDLED_SIGNALS
 from larklb.gateway.transport import Transport
 from larklb.gateway.zone_exchange import IN_FLIGHT_INTERVAL_MS, ZoneExchange
 from larklb.membership.members import UP, Member
@@ -226,6 +227,7 @@
         loop.add_signal_handler(signal.SIGTERM, self.leaving.set)
         loop.add_signal_handler(signal.SIGINT, self.leaving.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         await self.transport.start()
         for listener, address in (
             (self.readiness, settings.readiness),
