A kill, an emptied disk or other settings before the founding don't stop the first start

One core process was killed before the group was founded and came back within a second; from then on no configuration was ever taken, 503 everywhere. Cause: a disk without votes got a new id at each start, while the founding waited for the old one, for good; and only the first machine by name proposed, only if its settings say bootstrap, which they no longer do after a restart. Change: a blank disk keeps its id, its empty hard state and that it is of the first start; all core machines of the first start propose, 400 ms apart by name; a founding that needs a disk which is silent for 2.5 s (5 s before) is replaced, also by its own proposer. Why it is safe: the rule of replacement is the one that stood (a smaller id, less than a majority left out), and only an unbound disk replaces; a disk that has lost its hard state still gets a new id.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -199,7 +199,7 @@
         if disk:
             core: SimulatedCore = SimulatedCore(
                 settings, local_member, None, fabric.now, 1, self.transport.send,
-                lambda values, saved: core.complete_save(values, saved)
+                lambda values, saved: core.complete_save(values, saved), first_start=True
             )
             core.fabric = fabric
             self.plane.core = core
--- a/larklb/cli/system_disk.py
+++ b/larklb/cli/system_disk.py
@@ -116,7 +116,7 @@
         try:
             before = store.load() or {}
             value = store.read_generation(LOG, generation)
-            if value is None or BALLOT not in before:
+            if value is None or not _has_votes(before):
                 raise UnusableError(f"{folder}: no votes are left here: empty the folder, and the disk joins "
                                     "its group as a newcomer")
             if wanted.group_id != HardState.from_json(decode(before[BALLOT])).group_id:
@@ -262,6 +262,11 @@
                         f"{', '.join(available) or 'none, as there is none'}")
 
 
+def _has_votes(stored: dict[str, bytes]) -> bool:
+    """Return whether a disk has accepted or voted anything; a blank one has an empty hard state."""
+    return BALLOT in stored and bool(HardState.from_json(decode(stored[BALLOT])).group_id)
+
+
 def _folder_state(folder: Path) -> Document:
     """The state that a limiter would start with. Raises UnusableError if it could not start."""
     store = Store(folder)
@@ -275,8 +280,9 @@
     log = Log.from_bytes(stored[LOG]) if stored and LOG in stored else Log()
     # The replica discards a log without a ballot, or with the ballot of another group.
     dropped = replica.last_index < log.last_index
-    return {"blank": stored is None, "disk": identity["what"].removeprefix("disk ") if identity else "",
-            "dropped": dropped, "version": 0 if dropped else _version(_newest_document(log)),
+    return {"blank": not _has_votes(stored or {}),
+            "disk": identity["what"].removeprefix("disk ") if identity else "", "dropped": dropped,
+            "version": 0 if dropped else _version(_newest_document(log)),
             "acknowledged": replica.version, "term": replica.term, "founded": replica.founded,
             "voters": replica.voters}
 
--- a/larklb/consensus/founding_protocol.py
+++ b/larklb/consensus/founding_protocol.py
@@ -19,23 +19,30 @@
         """Proposes a group of the disks ``cores`` (disk id -> node) and of this one.
 
         Does nothing while a save is in progress, if this disk is bound to a group, if its present founding
-        was proposed by itself or by a disk that was reported within ``Timing.proposer_timeout``, if that
-        founding may not be replaced, or if the list is shorter than 2 x tolerance.
+        may still be completed or may not be replaced, or if the list is shorter than 2 x tolerance.
         """
         self._now = max(self._now, now)
         hard_state = self._hard_state
         if hard_state.bound or self._saving_since is not None:
             return
-        if hard_state.group_id and (
-            hard_state.proposer == self.disk
-            or self._liveness.silent_for(self._now, hard_state.proposer) < self._timing.proposer_timeout
-        ):
+        if hard_state.group_id and not self._awaits_silent_disk(hard_state):
             return
         listed = {**cores, self.disk: self.node}
         group_id = new_group_id(self._rng, hard_state.group_id)
         if self._is_large_enough(listed) and hard_state.may_accept(self.disk, group_id, listed):
             self._accept_founding(group_id, listed, self.disk)
 
+    def _awaits_silent_disk(self, hard_state: HardState) -> bool:
+        """Returns whether the present founding needs a disk that was not reported for a while.
+
+        A founding that was proposed by another disk needs that one, which is told who accepts it. One that
+        was proposed here needs all disks of its list."""
+        needed = hard_state.listed if hard_state.proposer == self.disk else [hard_state.proposer]
+        return any(
+            disk != self.disk and self._liveness.silent_for(self._now, disk) >= self._timing.proposer_timeout
+            for disk in needed
+        )
+
     def _is_large_enough(self, listed: dict[str, str]) -> bool:
         """Returns whether a group of these disks may be founded.
 
--- a/larklb/consensus/state.py
+++ b/larklb/consensus/state.py
@@ -21,6 +21,8 @@
 
 log = logging.getLogger(__name__)
 
+# Keys of the stored values: the hard state, and the log.
+HARD_STATE, LOG = "ballot", "log"
 # The random incarnation number of a replica is below this limit.
 INCARNATION_LIMIT = 1 << 40
 # Number of rounds whose sending times are stored.
@@ -63,10 +65,12 @@
     The two keys may come from different saves if the last save was interrupted. Nothing that depends on that
     save has been sent then, and the hard state (stored as ``ballot``) determines the group.
     """
-    if "ballot" not in stored:
+    if HARD_STATE not in stored:
         return HardState(), Log()
-    hard_state = HardState.from_json(decode(stored["ballot"]))
-    stored_log = Log.from_bytes(stored["log"]) if "log" in stored else Log()
+    hard_state = HardState.from_json(decode(stored[HARD_STATE]))
+    if not hard_state.group_id:  # a log would be that of a group whose votes are lost
+        return hard_state, Log()
+    stored_log = Log.from_bytes(stored[LOG]) if LOG in stored else Log()
     if stored_log.group_id != hard_state.group_id:
         stored_log = (
             Log(hard_state.group_id)
@@ -78,6 +82,11 @@
     return hard_state, stored_log
 
 
+def blank_hard_state() -> bytes:
+    """Returns the stored form of the hard state of a blank disk, which has accepted and voted nothing."""
+    return encode(HardState().to_json())
+
+
 class ReplicaState(ABC):
     """The state and the helpers that the parts of a replica share.
 
@@ -218,11 +227,11 @@
     def _begin_save(self) -> dict[str, bytes]:
         """Marks all changed state as being saved, and returns its stored form by key."""
         save = {}
-        if "ballot" in self._dirty:
-            save["ballot"] = encode(self._hard_state.to_json())
-        if "log" in self._dirty:
+        if HARD_STATE in self._dirty:
+            save[HARD_STATE] = encode(self._hard_state.to_json())
+        if LOG in self._dirty:
             self._log.compact()
-            save["log"] = self._log.to_bytes()
+            save[LOG] = self._log.to_bytes()
         self._saving_keys, self._dirty = self._dirty, set()
         self._saving_since, self._saving_last_index = self._now, self._log.last_index
         return save
--- a/larklb/consensus/timing.py
+++ b/larklb/consensus/timing.py
@@ -31,7 +31,8 @@
     ``quorum_timeout``: a leader steps down if no majority has answered a round for this long.
     ``save_timeout``: a disk counts as hanging if a save takes longer.
     ``voter_silence``: a voter may be replaced after this time without contact.
-    ``proposer_timeout``: another disk may propose a founding after the proposer was silent for this long.
+    ``proposer_timeout``: another founding may be proposed after a disk that the present one needs was silent
+    for this long.
     ``scale``: factor, relative to the base values, of all values except ``voter_silence``.
     """
 
@@ -41,7 +42,7 @@
     quorum_timeout: float = 1000.0
     save_timeout: float = 400.0
     voter_silence: float = 2400.0
-    proposer_timeout: float = 5000.0
+    proposer_timeout: float = 2500.0
     scale: float = 1.0
 
     @classmethod
--- a/larklb/gateway/core.py
+++ b/larklb/gateway/core.py
@@ -33,6 +33,9 @@
 
 # The disk's key of the departures of servers.
 DEPARTURES = "departures"
+# Each core machine waits this much longer than the one before it by node name: time for that one's proposal
+# to be accepted.
+NEXT_PROPOSER_MS = 400.0
 
 Send = Callable[[str, Message], object]
 # Called with the time in ms and whether a save is durable.
@@ -74,9 +77,14 @@
         seed: int,
         send: Send,
         save: Save,
+        *,
+        first_start: bool,
     ) -> None:
-        """``local_member`` has the disk's id; ``stored`` are the values that earlier saves left on the
-        disk."""
+        """``local_member`` has the disk's id; ``stored`` are the values that earlier saves left on the disk.
+
+        ``first_start``: this disk was first used at the first start of the whole system, and may found the
+        group."""
+        self.first_start = first_start
         self.settings, self.disk, self.send, self.save = settings, local_member.disk, send, save
         stored = dict(stored or {})
         departures = stored.pop(DEPARTURES, None)
@@ -86,7 +94,7 @@
             settings.heartbeat_period_ms,
             now,
             time_scale=timing.scale,
-            bootstrap=settings.bootstrap,
+            bootstrap=first_start,
             stored_departures=departures,
         )
         self.replica = Replica(
@@ -139,8 +147,11 @@
         )
 
     def _found_group(self, now: float, cores: Mapping[str, str]) -> None:
-        """Founds a group on a first start, on the core machine that is first by node name."""
-        if self.replica.founded or not self.settings.bootstrap:
+        """Proposes a group on a first start.
+
+        The core machine that is first by node name proposes first, and each other one the later the more
+        there are before it: these may not belong to the first start themselves."""
+        if self.replica.founded or not self.first_start:
             return
         present = frozenset(cores)
         if present != self.stable_cores[0]:
@@ -149,8 +160,8 @@
             len(present) >= 2 * self.settings.tolerance + 1
             or now - self.started_at > self.settings.bounds.contact_ms
         )
-        first = min(cores, key=lambda disk: (cores[disk], disk))
-        if enough_cores and first == self.disk and now - self.stable_cores[1] >= STABLE_CORES_MS:
+        rank = sorted(cores, key=lambda disk: (cores[disk], disk)).index(self.disk)
+        if enough_cores and now - self.stable_cores[1] >= STABLE_CORES_MS + rank * NEXT_PROPOSER_MS:
             self.stable_cores = (present, now)
             log.info("core: founding a group of %d.", len(present))
             self.replica.propose_founding(now, dict(cores))
--- a/larklb/gateway/main.py
+++ b/larklb/gateway/main.py
@@ -39,6 +39,7 @@
 from larklb.gateway.core import Core
 from larklb.gateway.data_plane import DataPlane, prepare_configuration
 from larklb.gateway.disk import DiskWriter
+from larklb.gateway.disk_contents import open_disk
 from larklb.gateway.errors import AddressError, GatewayError, SettingsError
 from larklb.gateway.listener import Listener, RequestLimits
 from larklb.gateway.messages import AnyMessage, CallResult, CapacityReport, InFlightMessage, QuotaMessage
@@ -71,8 +72,6 @@
 # Length of the random session id of a process, which distinguishes answers to it from those to the process
 # before it.
 SESSION_BYTES = 8
-# The disk's key of the term and vote.
-HARD_STATE = "ballot"
 # File descriptors that are not available for sockets.
 RESERVED_DESCRIPTORS = 200
 # How the other descriptors are divided among connections of clients, to servers, and of the control API.
@@ -125,17 +124,19 @@
         core = None
         if settings.data_dir and settings.control is not None:
             store = Store(Path(settings.data_dir))
-            stored, disk = _load_disk(store, settings.data_dir)
-            local_member = evolve(local_member, disk=disk)
+            contents = open_disk(store, settings.bootstrap)
+            status.mark_in_use(settings.data_dir)  # from here on no tool changes the stored values
+            local_member = evolve(local_member, disk=contents.disk)
             self.disk = DiskWriter(store, self.wheel)
             core = Core(
                 settings,
                 local_member,
-                stored,
+                contents.stored,
                 now,
                 self.random.randrange(1 << 30),
                 self.transport.send,
                 self.disk.save,
+                first_start=contents.first_start,
             )
         self.plane = ControlPlane(
             settings,
@@ -482,18 +483,6 @@
     )
 
 
-def _load_disk(store: Store, folder: str) -> tuple[dict[str, bytes] | None, str]:
-    """Returns the values stored on a core machine's disk, None if it is blank, and the disk's id.
-
-    A disk that has its id but not its votes might vote twice in a term, so it is treated as a blank disk and
-    gets a new id. The same happens, without harm, if a process ended early on a new disk."""
-    stored = store.load()
-    has_votes = stored is not None and HARD_STATE in stored
-    disk = store.identity(renew=not has_votes)
-    status.mark_in_use(folder)  # from here on no tool changes the stored values
-    return (stored if has_votes else None), disk
-
-
 def main() -> int:
     """Runs a limiter with the settings file that LARKLB_SETTINGS names.
 
--- a/larklb/lab/control_world.py
+++ b/larklb/lab/control_world.py
@@ -19,9 +19,11 @@
 from attrs import define, evolve, field
 
 from larklb.consensus.messages import InstallSnapshot
+from larklb.consensus.state import HARD_STATE, blank_hard_state
 from larklb.gateway import messages
 from larklb.gateway.control_plane import ControlPlane
 from larklb.gateway.core import Core, Saved
+from larklb.gateway.disk_contents import FIRST_START
 from larklb.gateway.messages import Configuration, Message, Raft
 from larklb.gateway.settings import Bounds, Settings
 from larklb.lab.control_history import InvariantViolationError
@@ -173,6 +175,7 @@
         machine.saves.clear()
         machine.buffered.clear()
         settings = self._settings(machine)
+        first_start = self._open_disk(machine)
         member_incarnation = int(self.now) + machine.incarnation  # increases, as the wall clock does
         member = Member(machine.node, machine.node, machine.zone, member_incarnation, machine.disk_id)
         rng = random.Random(self.rng.randrange(1 << 30))
@@ -204,6 +207,7 @@
                 lambda values, saved, incarnation=machine.incarnation: self._enqueue_save(
                     machine, incarnation, Save(values, saved)
                 ),  # type: ignore[misc]
+                first_start=first_start,
             )
         machine.plane = plane
         self.at(
@@ -211,6 +215,15 @@
             lambda incarnation=machine.incarnation: self._tick(machine, incarnation),  # type: ignore[misc]
         )
 
+    def _open_disk(self, machine: Machine) -> bool:
+        """Does as ``disk_contents.open_disk``; returns whether the disk belongs to the first start."""
+        if machine.disk is None:
+            return False
+        if HARD_STATE not in machine.disk:  # the disk has a new id already
+            machine.disk |= {FIRST_START: b"1"} if self.bootstrap else {}
+            machine.disk[HARD_STATE] = blank_hard_state()
+        return self.bootstrap or FIRST_START in machine.disk
+
     def _settings(self, machine: Machine) -> Settings:
         address = (machine.node, CONTROL_PORT)
         return Settings(
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Callable
+from functools import partial
 
 import pytest
 from attrs import evolve
@@ -13,6 +15,7 @@
 from larklb.gateway.control import OperatorRequest
 from larklb.gateway.messages import CallResult
 from larklb.lab.control_breaks import BREAKS
+from larklb.lab.control_callers import Operators
 from larklb.lab.control_day import SCENARIOS, Day
 from larklb.lab.control_faults import Task, generate_tasks, main, play_day
 from larklb.lab.control_history import History, InvariantViolationError, Order, Read
@@ -132,6 +135,51 @@
     assert not steady_at(world, "s1")
 
 
+# The first start ------------------------------------------------------------------------------------
+
+
+def disturb_first_start(world: World, rng: random.Random) -> None:
+    """Kills, resets and replaces core machines before a group is founded; settings change meanwhile."""
+    world.run(400.0)  # until all have started
+    spare = 1  # disks that may be lost
+    for _ in range(rng.choice((1, 2, 4))):
+        world.run(rng.uniform(0.0, 1_500.0))
+        machine = rng.choice(world.cores())
+        action = rng.choice(("kill", "kill", "kill", "wipe", "replace"))
+        if action == "kill" or not spare:
+            world.kill(machine, power=rng.random() < 0.5)
+        elif action == "wipe":
+            spare -= 1
+            world.wipe(machine)
+        else:
+            spare -= 1
+            world.remove(machine)
+            machine = world.add_core(rng.choice(("a", "z")), start=False)
+        world.run(rng.uniform(0.0, 1_000.0))
+        world.bootstrap = world.bootstrap and rng.random() < 0.5
+        world.restart(machine)
+
+
+@pytest.mark.parametrize("part", range(6))
+def test_a_group_is_founded_after_any_trouble_at_the_first_start(part: int) -> None:
+    """Guards against Fault: a core machine that was killed before the founding stopped the system."""
+    for seed in range(10 * part, 10 * part + 10):
+        world, rng = World(seed), random.Random(seed)
+        for machine in list(world.machines.values()):
+            world.at(rng.uniform(0, 300), partial(world.restart, machine))
+        disturb_first_start(world, rng)
+        world.core_disturbed_at = world.now
+        operators = Operators(world)
+        order = operators.order(0, 1)
+        world.run(world.bounds.contact_ms + world.bounds.ack_ms)
+        assert order.acknowledged < math.inf, (seed, world.log)
+        operators.order(1, 2)
+        world.run(world.bounds.ack_ms)
+        operators.read()
+        world.run(1_000.0)
+        operators.history.check(operators.history.reads[-1])
+
+
 # The checker -------------------------------------------------------------------------------------
 
 
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -11,9 +11,10 @@
 
 import pytest
 
+from larklb.consensus.state import HARD_STATE, load
 from larklb.gateway import messages
+from larklb.gateway.disk_contents import open_disk
 from larklb.gateway.forwarding import MAX_PENDING_CALLS, CallForwarder
-from larklb.gateway.main import HARD_STATE, _load_disk
 from larklb.gateway.messages import PROTOCOL, CallAnswer, CallResult, Message, OperatorCall, Peek, ServerCall
 from larklb.gateway.transport import Transport
 from larklb.membership.members import GRANTS_PER_EPOCH, Member, Members
@@ -186,13 +187,26 @@
     store = Store(folder)
     first = store.identity()
     store.save({HARD_STATE: b"{}", "log": b"{}"})
-    stored, disk = _load_disk(Store(folder), str(folder))
-    assert disk == first and stored is not None
+    contents = open_disk(Store(folder), False)
+    assert contents.disk == first and contents.stored is not None
     for path in folder.glob(f"{HARD_STATE}-*"):
         path.unlink()
-    stored, disk = _load_disk(Store(folder), str(folder))
-    assert disk != first and stored is None
-    assert Store(folder).identity() == disk, "the new id is stored"
+    contents = open_disk(Store(folder), False)
+    assert contents.disk != first and contents.stored is None
+    assert Store(folder).identity() == contents.disk, "the new id is stored"
+    again = open_disk(Store(folder), False)
+    assert again.stored is not None
+    assert load(again.stored)[1].last_index == -1, "a log of a group whose votes are lost counts for nothing"
+
+
+def test_a_blank_disk_keeps_its_id_and_that_it_is_of_the_first_start(tmp_path: Path) -> None:
+    """Guards against Fault: a process that was killed before the founding came back with another id, while
+    the founding waited for the old one, or with settings by which nobody founded a group."""
+    contents = open_disk(Store(tmp_path / "disk"), True)
+    assert contents.stored is None and contents.first_start
+    again = open_disk(Store(tmp_path / "disk"), False)
+    assert again.disk == contents.disk and again.first_start
+    assert not open_disk(Store(tmp_path / "new"), False).first_start
 
 
 def test_the_deploy_file_lists_the_packages_that_the_build_needs() -> None:
