--- a/larklb/lab/control_breaks.py
+++ b/larklb/lab/control_breaks.py
@@ -19,6 +19,7 @@
 from larklb.gateway.core import Core
 from larklb.gateway.forwarding import CallForwarder
 from larklb.gateway.messages import CallAnswer
+from larklb.registry.departures import Departures
 from larklb.registry.replica import RegistryReplica
 
 Change = tuple[Any, str, Any]  # the object, the attribute's name, its value without the guard
@@ -164,6 +165,20 @@
     return [(RegistryReplica, "_acknowledge_on_quorum", acknowledge_at_once)]
 
 
+def _departures_in_memory() -> list[Change]:
+    def forget(self: RegistryReplica) -> None:
+        self.stored_departures = None
+
+    return [(RegistryReplica, "_restore_departures", forget)]
+
+
+def _departures_before_the_save() -> list[Change]:
+    def act_at_once(self: Departures, departures: Any, action: Callable[[], object], deadline: float) -> None:
+        action()
+
+    return [(Departures, "when_durable", act_at_once)]
+
+
 def _snapshots_go_back() -> list[Change]:
     def install(self: Log, snapshot: Any) -> bool:
         self.base = self.state = snapshot
@@ -206,6 +221,8 @@
     "told-while-cut-off": Break("cut", _told_while_cut_off),
     "never-fenced": Break("cut", _never_fenced),
     "drains-known-to-one": Break("cut", _drains_known_to_one),
+    "departures-in-memory": Break("history", _departures_in_memory),
+    "departures-before-the-save": Break("races", _departures_before_the_save),
     "snapshots-go-back": Break("history", _snapshots_go_back, 3),
     "snapshots-not-installed": Break("history", _snapshots_not_installed),
     "committed-by-fewer": Break("replacement", _committed_by_fewer),
--- a/larklb/lab/control_callers.py
+++ b/larklb/lab/control_callers.py
@@ -28,6 +28,11 @@
 # Added to the number of an order; the sum, stored in its document, identifies the order.
 ORDER_MARKER = 1_000
 DRAIN_GRACE_MS = 3_000.0  # a server runs on for so long after its drain is acknowledged
+# A heartbeat from before a departure arrives this late, (min, max), and an acknowledged departure is checked
+# for this long, this often.
+LATE_HEARTBEAT_MS = (100.0, 9_000.0)
+DEPARTURE_CHECK_MS, DEPARTURE_CHECK_INTERVAL_MS = 14_000.0, 500.0
+SIGN_OFF_SHARE = 0.3  # of the servers that leave by a sign-off alone
 # A machine may send out a version for this long after a newer one was acknowledged.
 MAX_STALENESS_MS = 1_500.0
 
@@ -213,6 +218,7 @@
     servers: dict[str, SimulatedServer] = field(factory=dict)
     started_count: int = 0
     verified_drains: int = 0  # acknowledged drains that were checked at all connected machines
+    watched_departures: int = 0  # checks of departures that were acknowledged some time before
     on_drained: Callable[[Machine], object] | None = None  # called once, with the core machine
 
     def start(self) -> None:
@@ -255,11 +261,60 @@
         if steady:
             server = self.world.rng.choice(steady)
             server.draining = True
+            late = server.row
+            self.world.at(self.world.rng.uniform(*LATE_HEARTBEAT_MS), lambda: self._deliver_late(late))
+            if self.on_drained is None and self.world.rng.random() < SIGN_OFF_SHARE:
+                server.stopped = True
+                self._sign_off(server)
             self.start()
 
+    def _deliver_late(self, row: Server) -> None:
+        """Delivers a heartbeat that was sent before the departure of its server."""
+        self.operators.send_call(
+            lambda plane, done: plane.server_call(self.world.now, row, done), lambda result: None
+        )
+
+    def _sign_off(self, server: SimulatedServer) -> None:
+        """Signs a server off that never drains, again until it is acknowledged, while it serves on."""
+        name, machine = server.row.id, self.world.rng.choice(list(self.world.machines.values()))
+        if name not in self.servers:
+            return
+
+        def answered(result: CallResult | None) -> None:
+            if result is None or result.status != 200:
+                self.world.at(100.0, lambda: self._sign_off(server))
+            elif not server.acknowledged:
+                server.acknowledged = True
+                self._watch_departure(server, self.world.now)
+                self.world.at(DRAIN_GRACE_MS, lambda: self.servers.pop(name, None))
+
+        self.operators.send_call(
+            lambda plane, done: plane.server_call(self.world.now, name, done), answered, machine
+        )
+
+    def _watch_departure(self, server: SimulatedServer, acknowledged: float) -> None:
+        """Checks for a while that no machine in touch takes a departed server for a steady one, whatever has
+        happened to the core since."""
+        world, contact_ms = self.world, self.world.bounds.contact_ms
+        if world.now - acknowledged > DEPARTURE_CHECK_MS:
+            return
+        world.at(DEPARTURE_CHECK_INTERVAL_MS, lambda: self._watch_departure(server, acknowledged))
+        core_settled = world.now - world.core_disturbed_at > contact_ms and not world.loss_rate
+        if not core_settled or world.now - acknowledged <= world.bounds.drain_ms:
+            return
+        for machine in world.machines.values():
+            if machine.plane is None or not world.is_healthy(machine):
+                continue
+            known = machine.plane.subscriber.servers.get(server.row.id)
+            in_touch = world.now - machine.undisturbed_since > contact_ms
+            if in_touch and known is not None and known.state == STEADY and not known.silent:
+                raise InvariantViolationError(f"{machine.node} uses {server.row.id}, which has departed")
+        self.watched_departures += 1
+
     def _handle_drain_acknowledged(self, server: SimulatedServer, machine: Machine) -> None:
         server.acknowledged = True
         bounds, now = self.world.bounds, self.world.now
+        self._watch_departure(server, now)
         if self._is_connected(machine):
             self.world.at(bounds.drain_ms, lambda: self._check_drain_propagated(server, now))
         if self.on_drained is not None and (core := self._core_of(machine)) is not None:
--- a/larklb/lab/control_day_faults.py
+++ b/larklb/lab/control_day_faults.py
@@ -24,7 +24,14 @@
         "limiter": 1,
         "drain_and_lose": 4,
     },
-    "races": {"lost_answers": 5, "kill": 2, "freeze_leader": 2, "kill_all": 1, "resend": 6},
+    "races": {
+        "lost_answers": 5,
+        "kill": 2,
+        "freeze_leader": 2,
+        "kill_all": 1,
+        "resend": 6,
+        "drain_and_lose_all": 4,
+    },
     "replacement": {
         "wipe": 5,
         "replace": 5,
@@ -402,6 +409,18 @@
         self.servers.on_drained = kill_acknowledger
         self.servers.drain()
 
+    def _drain_and_lose_all(self) -> None:
+        """Cuts the power of all core machines as soon as one acknowledges a drain; the server ends."""
+        if self._remaining_tolerance() < self.tolerance:
+            return
+
+        def kill_core(machine: Machine) -> None:
+            if self._remaining_tolerance() == self.tolerance:
+                self._kill_all()
+
+        self.servers.on_drained = kill_core
+        self.servers.drain()
+
     def _loss(self) -> None:
         """Drops, duplicates and delays messages between all machines."""
         world = self.world
