The soak looks for connections left open, unexpected errors and limiters that serve nobody

Change: at the end each limiter must serve a request, must have closed its connections to servers 9 s later, and must have counted no internal_error.

--- a/larklb/lab/soak.py
+++ b/larklb/lab/soak.py
@@ -11,6 +11,9 @@
     quota     more requests of a tenant were sent and run within a window than its limit allows
     end       a process didn't exit with 0 within its grace period after SIGTERM
     settled   at the end, not all limiters are ready with the last acknowledged configuration
+    nobody    at the end, a limiter that is ready doesn't serve a request
+    leak      connections to servers are still open some time after the last request
+    error     a limiter has counted an unexpected error
 
     python -m larklb.lab.soak [--seeds N] [--first S] [--seconds T] [--jobs J] [--limiters L]
 
@@ -37,12 +40,12 @@
 
 from attrs import define, field
 
-from larklb.lab.soak_clients import ClientRequest, PersistentClient, Run, SoakServer
+from larklb.lab.soak_clients import CLIENT_TIMEOUT_S, KEY, ClientRequest, PersistentClient, Run, SoakServer
 from larklb.lab.soak_quotas import ALLOWANCES, QUOTA_CONFIGURATION, TenantLoad
 from larklb.lab.soak_relays import Relays
 from larklb.lab.system import RECOVERY_TIMEOUT_S, START_TIMEOUT_S, Trial
 from larklb.lab.system_clients import NOT_RUN_STATUSES
-from larklb.lab.system_network import CORES, GRACE_S, LIMITERS, TrialError, free_net
+from larklb.lab.system_network import CORES, GRACE_S, LIMITERS, TrialError, call, free_net
 from larklb.schema import calls
 
 # The work of a request must end within this time after its client has disconnected.
@@ -50,6 +53,8 @@
 SLACK_S = 0.35  # additional time allowed for a loaded machine
 # A disconnect this shortly before or after a kill is attributed to the kill.
 KILL_WINDOW_S = 0.4
+# Idle connections to servers are closed within this time; how often a limiter is asked for their number.
+IDLE_END_S, STATUS_INTERVAL_S = 9.0, 0.5
 LAG_INTERVAL_S = 0.05  # time between measurements of this process's lateness
 CLIENTS = 14
 DOWN_S = (0.2, 1.0)  # time between the end and the restart of a process, (min, max)
@@ -154,6 +159,7 @@
             Violation("quota", text) for load in self.loads if (text := load.excess(self._runs_of))
         ]
         await self._check_settled()
+        await asyncio.gather(*(self._check_limiter(i) for i in range(self.net.limiters)))
         return Result(self.seed, self.counts, self.broken)
 
     async def _measure_lag(self) -> None:
@@ -372,6 +378,36 @@
                 Violation("settled", f"{configuration.get('version')} is read, not {self.version}")
             )
 
+    async def _check_limiter(self, i: int) -> None:
+        """Checks that a limiter serves, has met no unexpected error, and leaves no connection behind."""
+        headers = {"Host": "shop.example", "Authorization": f"Bearer {KEY}", "X-Attempt-Id": f"last-{i}"}
+        status = 0
+        with suppress(OSError, TimeoutError):
+            status, _, _ = await call(
+                f"{self.net.ip(i)}:{self.net.edge}",
+                "GET",
+                f"/parts/last-{i}",
+                headers,
+                timeout_s=CLIENT_TIMEOUT_S,
+            )
+        if status != 200:
+            self.broken.append(Violation("nobody", f"limiter-{i} answers {status or 'nothing'}"))
+        open_connections, counts = -1, {}
+        for _ in range(round(IDLE_END_S / STATUS_INTERVAL_S)):
+            document = await self.status(i, calls.COUNTS)
+            counts = document.get("counts", {})
+            open_connections = document.get("open", {}).get("servers", -1)
+            if not open_connections:
+                break
+            await asyncio.sleep(STATUS_INTERVAL_S)
+        if open_connections:
+            self.broken.append(
+                Violation("leak", f"limiter-{i} has {open_connections} connections to servers")
+            )
+        errors = {name: count for name, count in counts.items() if name.startswith("internal_error")}
+        if errors:
+            self.broken.append(Violation("error", f"limiter-{i}: {errors}"))
+
 
 async def _run_soak(folder: Path, seconds: float, seed: int, limiters: int) -> Result:
     soak = Soak(folder, seconds, seed, limiters)
